--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN = $(VENV)/bin
+READY = $(VENV)/.ready
+
+.PHONY: install test check demo bench schema generate lock
+
+install: $(READY)
+
+$(READY): requirements.lock pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $(READY)
+
+test: install
+	$(BIN)/python -m tests
+
+check: install
+	$(BIN)/black --check --quiet src standins bench tests
+	$(BIN)/ruff check --quiet src standins bench tests
+	$(BIN)/mypy
+
+demo: install
+	$(BIN)/python -m bench.demo
+
+generate:
+	thrift -r --gen py:slots -out src/sycamorebay/protocol/generated src/sycamorebay/protocol/peers.thrift
+
+lock: install
+	$(BIN)/pip freeze --all --exclude-editable --exclude pip > requirements.lock
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks and the demo: real processes on loopback."""
--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,112 @@
+"""The demo: the consortium's size, with failures, within 50 seconds."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from collections import Counter
+
+from bench.fleet import Fleet, Shape, service
+from bench.load import Kind, Load, Report, broken_promises
+
+SEED = 7
+ENTRIES = 13
+LOAD_S = 20.0
+DOMAINS = ("scot-a", "scot-b", "scot-c")
+ROUTES = [
+    {"methods": ["GET"], "path": "/prices", "idempotent": True, "deadline_ms": 2000},
+    {"methods": ["POST"], "path": "/bids", "deadline_ms": 3000},
+    {
+        "methods": ["GET"],
+        "path": "/batch",
+        "work": "long",
+        "idempotent": True,
+        "deadline_ms": 20000,
+    },
+]
+KINDS = [
+    Kind("price check", "lot-desk.test", "GET", "/prices/7", 200.0),
+    Kind("bid confirmation", "lot-desk.test", "POST", "/bids", 40.0, keyed=True),
+    Kind("ledger", "dock-ledger.test", "GET", "/prices/all", 40.0),
+    Kind("batch run", "lot-desk.test", "GET", "/batch?work_ms=500", 1.0),
+]
+
+
+def shape() -> Shape:
+    """Return the consortium's fleet."""
+    document = {
+        "format": 1,
+        "services": [
+            service("lot-desk", 20, 3, DOMAINS, ROUTES),
+            service("dock-ledger", 6, 3, DOMAINS, ROUTES),
+        ],
+    }
+    return Shape(ENTRIES, document, behaviour={"work_ms": 20.0})
+
+
+async def failures(fleet: Fleet) -> None:
+    """Kill an entry, freeze a backend server and take the platform away."""
+    await asyncio.sleep(4)
+    fleet.kill("entry-3")
+    await asyncio.sleep(3)
+    await fleet.control_backend("lot-desk-4", frozen=True)
+    await asyncio.sleep(2)
+    await fleet.control_platform(down=True)
+    await asyncio.sleep(4)
+    await fleet.control_platform(down=False)
+    await fleet.control_backend("lot-desk-4", frozen=False)
+
+
+def print_report(report: Report, added: list[str], runs_by_key: Counter[str]) -> None:
+    """Print what callers saw as a table."""
+    print(f"{'kind':<18}{'served':>8}{'p50 ms':>10}{'p99 ms':>10}{'p99.9 ms':>10}")
+    for name, histogram in report.latency_by_kind.items():
+        row = [report.quantile_ms(name, quantile) for quantile in (50, 99, 99.9)]
+        print(f"{name:<18}{histogram.total_count:>8}" + "".join(f"{ms:>10.1f}" for ms in row))
+    print("\noutcome by step")
+    for (outcome, step), number in sorted(report.outcomes.items()):
+        print(f"  {outcome:<10}{step:<16}{number:>8}")
+    twice = sum(1 for runs in runs_by_key.values() if runs > 1)
+    print(f"\noperations run twice: {twice}")
+    print(f"load tool late (p99): {report.late_ms():.1f} ms")
+    print("\n".join(added))
+
+
+async def added_time(fleet: Fleet) -> list[str]:
+    """Return lines on the time that the entries added."""
+    counts: Counter[str] = Counter()
+    for index in range(ENTRIES):
+        if fleet.processes_by_name[f"entry-{index}"].poll() is not None:
+            continue
+        _, text = await fleet.operator(index, "/metrics")
+        for line in text.splitlines():
+            if line.startswith("sycamorebay_added_seconds_bucket"):
+                bound = line.split('le="')[1].split('"')[0]
+                counts[bound] += int(float(line.rsplit(" ", 1)[1]))
+    total = counts["+Inf"] or 1
+    shares = [(bound, counts[bound] / total) for bound in ("0.00062", "0.001", "0.002", "0.005")]
+    return ["time added by entries:"] + [
+        f"  within {float(bound) * 1000:.2f} ms: {share:.1%}" for bound, share in shares
+    ]
+
+
+async def run() -> int:
+    """Run the demo and return the exit code."""
+    async with Fleet(shape()) as fleet:
+        print(f"{ENTRIES} entries ready; {LOAD_S:.0f} s of load with failures", flush=True)
+        load = Load([fleet.url(index) for index in range(ENTRIES)], KINDS, SEED)
+        await asyncio.gather(load.run(LOAD_S), failures(fleet))
+        counted = await fleet.counted_by_backend()
+        runs_by_key: Counter[str] = Counter()
+        for one in counted.values():
+            runs_by_key.update(one["runs_by_key"])
+        print_report(load.report, await added_time(fleet), runs_by_key)
+        broken = broken_promises(load.report, runs_by_key)
+    for line in broken:
+        print(f"BROKEN: {line}")
+    print("all promises held" if not broken else f"{len(broken)} promises broken")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(run()))
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,250 @@
+"""A fleet on loopback: platform stand-in, backend servers and entries, each a process."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import json
+import os
+import secrets
+import signal
+import subprocess
+import sys
+import tempfile
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any, Self
+
+import aiohttp
+import attrs
+
+PLATFORM_PORT = 2379
+CALLERS_PORT = 8000
+OPERATORS_PORT = 9000
+PEERS_PORT = 7000
+BACKEND_PORT = 10_000
+CONTROL_PORT = 6000
+ROOT = Path(__file__).resolve().parent.parent
+
+_fleets = itertools.count(1)
+
+
+@attrs.frozen
+class Shape:
+    """How large a fleet is.
+
+    Attributes
+    ----------
+    entries : int
+        Entry daemons.
+    document : dict
+        The document, with backend servers without an address.
+    backend_processes : int
+        Processes that the backend servers share.
+    behaviour : dict
+        Behaviour of every backend server at the start.
+    settings : dict
+        Settings merged into those of each entry.
+    """
+
+    entries: int
+    document: dict[str, Any]
+    backend_processes: int = 3
+    behaviour: dict[str, Any] = attrs.field(factory=dict)
+    settings: dict[str, Any] = attrs.field(factory=dict)
+
+
+def service(
+    name: str, servers: int, slots: int, domains: tuple[str, ...], routes: list[dict[str, Any]]
+) -> dict[str, Any]:
+    """Return a service of a document whose backend servers spread over its failure domains."""
+    return {
+        "name": name,
+        "hosts": [f"{name}.test"],
+        "failure_domains": list(domains),
+        "backend_servers": [
+            {"id": f"{name}-{i}", "failure_domain": domains[i % len(domains)], "slots": slots}
+            for i in range(servers)
+        ],
+        "routes": routes,
+    }
+
+
+class Fleet:
+    """Processes of one fleet; use as an async context manager.
+
+    Parameters
+    ----------
+    shape : Shape
+        What to start.
+    """
+
+    def __init__(self, shape: Shape) -> None:
+        self.shape = shape
+        number = next(_fleets) % 250 + 1
+        pid = os.getpid()
+        self.address = f"127.{pid // 250 % 250 + 2}.{pid % 250 + 1}.{number}"
+        self.secret = secrets.token_hex(16)
+        self.platform_url = f"http://{self.address}:{PLATFORM_PORT}"
+        self.document = json.loads(json.dumps(shape.document))
+        self.servers = [s for one in self.document["services"] for s in one["backend_servers"]]
+        for index, server in enumerate(self.servers):
+            server["address"] = f"{self.address}:{BACKEND_PORT + index}"
+        self.processes_by_name: dict[str, subprocess.Popen[bytes]] = {}
+        self._stack = contextlib.AsyncExitStack()
+        self.directory = Path()
+        self.http: aiohttp.ClientSession
+
+    async def __aenter__(self) -> Self:
+        temporary = tempfile.TemporaryDirectory(prefix="sycamorebay-")
+        self.directory = Path(self._stack.enter_context(temporary))
+        self._stack.callback(self._end)
+        self.http = await self._stack.enter_async_context(aiohttp.ClientSession())
+        (self.directory / "secret").write_text(self.secret + "\n")
+        try:
+            self.start_platform()
+            self._start_backends()
+            await self._until_answers(self.platform_url + "/vms")
+            self.apply(self.document)
+            for index in range(self.shape.entries):
+                self.start_entry(index)
+            await self.until_ready(range(self.shape.entries))
+        except BaseException:
+            await self._stack.aclose()
+            raise
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self._stack.aclose()
+
+    def spawn(self, name: str, arguments: list[str]) -> None:
+        """Start a Python process with its output in a file."""
+        with open(self.directory / f"{name}.log", "ab") as output:
+            self.processes_by_name[name] = subprocess.Popen(
+                [sys.executable, *arguments], stdout=output, stderr=output, cwd=ROOT
+            )
+
+    def start_platform(self) -> None:
+        """Start the platform stand-in."""
+        arguments = ["-m", "standins.platform", "--address", self.address]
+        self.spawn("platform", [*arguments, "--port", str(PLATFORM_PORT)])
+
+    def start_entry(self, index: int) -> None:
+        """Start, or start again, one entry."""
+        path = self.directory / f"entry-{index}.json"
+        path.write_text(json.dumps(self._settings(index)))
+        self.spawn(f"entry-{index}", ["-m", "sycamorebay", "serve", "--settings", str(path)])
+
+    def apply(self, document: dict[str, Any]) -> None:
+        """Put a document in force by the operators' command line."""
+        path = self.directory / "document.json"
+        path.write_text(json.dumps(document))
+        command = [sys.executable, "-m", "sycamorebay", "config", "apply", str(path)]
+        subprocess.run(
+            [*command, "--platform", self.platform_url], check=True, stdout=subprocess.DEVNULL
+        )
+
+    def kill(self, name: str) -> None:
+        """Kill one process at once."""
+        self.signal(name, signal.SIGKILL)
+        self.processes_by_name[name].wait()
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process."""
+        self.processes_by_name[name].send_signal(number)
+
+    def url(self, index: int, port: int = CALLERS_PORT) -> str:
+        """Return the base URL of one entry."""
+        return f"http://{self.address}:{port + index}"
+
+    async def control_platform(self, **faults: Any) -> None:
+        """Steer the platform stand-in."""
+        async with self.http.post(self.platform_url + "/control", json=faults) as response:
+            response.raise_for_status()
+
+    async def control_backend(self, server_id: str, **behaviour: Any) -> None:
+        """Steer one backend server, or all of them as ``all``."""
+        for index in range(self.shape.backend_processes):
+            owned = {server["id"] for server in self._owned(index)}
+            if server_id == "all" or server_id in owned:
+                url = f"http://{self.address}:{CONTROL_PORT + index}/control/{server_id}"
+                async with self.http.post(url, json=behaviour) as response:
+                    response.raise_for_status()
+
+    async def counted_by_backend(self) -> dict[str, Any]:
+        """Return what each backend server counted."""
+        counted: dict[str, Any] = {}
+        for index in range(self.shape.backend_processes):
+            url = f"http://{self.address}:{CONTROL_PORT + index}/control"
+            async with self.http.get(url) as response:
+                counted.update(await response.json())
+        return counted
+
+    async def operator(self, index: int, path: str) -> tuple[int, str]:
+        """Ask one entry's operators' listener."""
+        headers = {"sycamorebay-secret": self.secret}
+        async with self.http.get(self.url(index, OPERATORS_PORT) + path, headers=headers) as reply:
+            return reply.status, await reply.text()
+
+    async def until_ready(self, indices: Any, limit_s: float = 30.0) -> None:
+        """Wait until entries are ready."""
+        async with asyncio.timeout(limit_s):
+            for index in indices:
+                while not await self._is_ready(index):  # noqa: ASYNC110
+                    await asyncio.sleep(0.1)
+
+    async def _is_ready(self, index: int) -> bool:
+        try:
+            status, _ = await self.operator(index, "/ready")
+        except aiohttp.ClientError:
+            return False
+        return status == 200
+
+    async def _until_answers(self, url: str) -> None:
+        async with asyncio.timeout(20):
+            while True:
+                with contextlib.suppress(aiohttp.ClientError):
+                    async with self.http.get(url):
+                        return
+                await asyncio.sleep(0.05)
+
+    def _owned(self, index: int) -> list[dict[str, Any]]:
+        return self.servers[index :: self.shape.backend_processes]
+
+    def _start_backends(self) -> None:
+        for index in range(self.shape.backend_processes):
+            spec = [{**s, "behaviour": self.shape.behaviour} for s in self._owned(index)]
+            path = self.directory / f"backends-{index}.json"
+            path.write_text(json.dumps(spec))
+            arguments = ["-m", "standins.backend", "--spec", str(path), "--address", self.address]
+            self.spawn(f"backends-{index}", [*arguments, "--control", str(CONTROL_PORT + index)])
+
+    def _settings(self, index: int) -> dict[str, Any]:
+        domains = self.document["services"][0]["failure_domains"]
+        return {
+            "id": f"entry-{index}",
+            "failure_domain": domains[index % len(domains)],
+            "callers": {"address": self.address, "port": CALLERS_PORT + index},
+            "operators": {"address": self.address, "port": OPERATORS_PORT + index},
+            "peers": {"address": self.address, "port": PEERS_PORT + index},
+            "platform": {"url": self.platform_url, "vm_list_url": self.platform_url + "/vms"},
+            "secret_file": str(self.directory / "secret"),
+            "stop": {"notice_s": 0.2, "limit_s": 5},
+            **self.shape.settings,
+        }
+
+    def _end(self) -> None:
+        for process in self.processes_by_name.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes_by_name.values():
+            process.wait()
+
+
+@contextlib.asynccontextmanager
+async def fleet(shape: Shape) -> AsyncIterator[Fleet]:
+    """Start a fleet, and end its processes."""
+    async with Fleet(shape) as started:
+        yield started
--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,208 @@
+"""Load tool: open-loop arrivals from a seed, through a stand-in of the platform's balancer."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import time
+import uuid
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import aiohttp
+import attrs
+from hdrh.histogram import HdrHistogram
+
+MAX_SENDS = 5
+_MAX_US = 120_000_000
+LATE_MS = 20.0
+
+
+@attrs.frozen
+class Kind:
+    """One kind of request.
+
+    Attributes
+    ----------
+    name : str
+        For the report.
+    host, method, target : str
+        What is sent.
+    rate : float
+        Requests a second.
+    keyed : bool
+        Whether it is a non-idempotent operation with a key.
+    """
+
+    name: str
+    host: str
+    method: str
+    target: str
+    rate: float
+    keyed: bool = False
+
+
+@attrs.define
+class Report:
+    """What callers saw."""
+
+    outcomes: Counter[tuple[str, str]] = attrs.field(factory=Counter)
+    wrong_answers: int = 0
+    latency_by_kind: dict[str, HdrHistogram] = attrs.field(factory=dict)
+    told_by_key: dict[str, list[str]] = attrs.field(factory=dict)
+    lateness: HdrHistogram = attrs.field(factory=lambda: HdrHistogram(1, _MAX_US, 3))
+
+    def observe(self, kind: Kind, seconds: float) -> None:
+        """Record one latency from the intended send time."""
+        histogram = self.latency_by_kind.setdefault(kind.name, HdrHistogram(1, _MAX_US, 3))
+        histogram.record_value(max(1, int(seconds * 1e6)))
+
+    def quantile_ms(self, kind_name: str, quantile: float) -> float:
+        """Return a latency quantile of one kind in milliseconds."""
+        histogram = self.latency_by_kind.get(kind_name)
+        return histogram.get_value_at_percentile(quantile) / 1000 if histogram else 0.0
+
+    def late_ms(self) -> float:
+        """Return the 99th percentile of the load tool's own lateness in milliseconds."""
+        return self.lateness.get_value_at_percentile(99) / 1000
+
+
+class Balancer:
+    """Stand-in of the platform's balancer: round robin over entries that accept connections."""
+
+    def __init__(self, urls: list[str]) -> None:
+        self._urls = urls
+        self._next = 0
+
+    def pick(self) -> str:
+        """Return the next entry."""
+        self._next = (self._next + 1) % len(self._urls)
+        return self._urls[self._next]
+
+
+class Load:
+    """Sends a mix of requests and keeps what each caller was told.
+
+    Parameters
+    ----------
+    urls : list of str
+        Entries.
+    kinds : list of Kind
+        The mix.
+    seed : int
+        Seed of arrivals.
+    """
+
+    def __init__(self, urls: list[str], kinds: list[Kind], seed: int) -> None:
+        self._balancer = Balancer(urls)
+        self._kinds = kinds
+        self._rng = random.Random(seed)
+        self.report = Report()
+
+    async def run(
+        self, seconds: float, rate_factor: Callable[[float], float] | None = None
+    ) -> None:
+        """Send for some seconds and wait for every answer."""
+        arrivals = self._arrivals(seconds, rate_factor or (lambda _: 1.0))
+        connector = aiohttp.TCPConnector(limit=0)
+        timeout = aiohttp.ClientTimeout(total=60)
+        async with aiohttp.ClientSession(connector=connector, timeout=timeout) as session:
+            session._retry_connection = False
+            start = time.monotonic()
+            async with asyncio.TaskGroup() as tasks:
+                for at, kind in arrivals:
+                    wait = start + at - time.monotonic()
+                    if wait > 0:
+                        await asyncio.sleep(wait)
+                    late = time.monotonic() - start - at
+                    self.report.lateness.record_value(max(1, int(late * 1e6)))
+                    tasks.create_task(self._call(session, kind, start + at))
+
+    def _arrivals(
+        self, seconds: float, rate_factor: Callable[[float], float]
+    ) -> list[tuple[float, Kind]]:
+        arrivals = []
+        for kind in self._kinds:
+            at = 0.0
+            while kind.rate > 0:
+                at += self._rng.expovariate(kind.rate * rate_factor(at))
+                if at >= seconds:
+                    break
+                arrivals.append((at, kind))
+        return sorted(arrivals, key=lambda arrival: arrival[0])
+
+    async def _call(self, session: aiohttp.ClientSession, kind: Kind, intended: float) -> None:
+        token = uuid.UUID(int=self._rng.getrandbits(128)).hex
+        told: list[str] = []
+        for _ in range(MAX_SENDS):
+            sent_before = any(outcome != "unreached" for outcome in told)
+            outcome, step, retry_after = await self._send(session, kind, token, not sent_before)
+            told.append(outcome)
+            if outcome == "unreached":
+                continue
+            if outcome in ("served", "failed") or not kind.keyed:
+                break
+            await asyncio.sleep(min(retry_after, 1.0) * 0.5)
+        self.report.outcomes[told[-1], step] += 1
+        if kind.keyed:
+            self.report.told_by_key[token] = told
+        if told[-1] == "served":
+            self.report.observe(kind, time.monotonic() - intended)
+
+    async def _send(
+        self, session: aiohttp.ClientSession, kind: Kind, token: str, first: bool
+    ) -> tuple[str, str, float]:
+        headers = {"host": kind.host, "x-echo": token}
+        if kind.keyed:
+            headers["idempotency-key"] = token
+            headers["sycamorebay-attempt"] = "1" if first else "2"
+        url = self._balancer.pick() + kind.target
+        try:
+            async with session.request(kind.method, url, headers=headers) as response:
+                body = await response.read()
+                return self._outcome(response, body, token)
+        except aiohttp.ClientConnectorError:
+            return "unreached", "connect", 0.0
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return "lost", "answer", 0.5
+
+    def _outcome(
+        self, response: aiohttp.ClientResponse, body: bytes, token: str
+    ) -> tuple[str, str, float]:
+        outcome = response.headers.get("sycamorebay-outcome")
+        if outcome is not None:
+            step = (_json(body) or {}).get("step", "")
+            return outcome, step, float(response.headers.get("retry-after", "1"))
+        if response.status >= 500:
+            return "failed", str(response.status), 0.0
+        if response.content_type == "application/json" and _json(body).get("echo") != token:
+            self.report.wrong_answers += 1
+        return "served", "", 0.0
+
+
+def _json(body: bytes) -> Any:
+    return json.loads(body)
+
+
+def broken_promises(report: Report, runs_by_key: Counter[str]) -> list[str]:
+    """Compare what callers were told with what backend servers ran.
+
+    Returns
+    -------
+    list of str
+        One line a broken promise; empty where all held.
+    """
+    broken = []
+    if report.wrong_answers:
+        broken.append(f"{report.wrong_answers} callers got another request's answer")
+    for key, told in report.told_by_key.items():
+        runs = runs_by_key[key]
+        if runs > 1:
+            broken.append(f"operation {key} ran {runs} times")
+        if told[-1] == "served" and runs == 0:
+            broken.append(f"operation {key} was told served and never ran")
+        if runs and all(outcome in ("not-run", "unreached") for outcome in told):
+            broken.append(f"operation {key} was told not run and ran")
+    return broken
--- /dev/null
+++ b/src/sycamorebay/coordination/retry.py
@@ -0,0 +1,30 @@
+"""Retries as a bounded fraction of traffic."""
+
+from __future__ import annotations
+
+_MAX_SAVED_RETRIES = 10.0
+
+
+class RetryBudget:
+    """Tokens earned by requests and spent by retries.
+
+    Parameters
+    ----------
+    ratio : float
+        Retries earned by one request.
+    """
+
+    def __init__(self, ratio: float) -> None:
+        self._ratio = ratio
+        self._tokens = 1.0 if ratio > 0 else 0.0
+
+    def on_request(self) -> None:
+        """Earn for one request."""
+        self._tokens = min(_MAX_SAVED_RETRIES, self._tokens + self._ratio)
+
+    def take(self) -> bool:
+        """Spend one retry; False where none is left."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
--- /dev/null
+++ b/src/sycamorebay/metrics.py
@@ -0,0 +1,87 @@
+"""Metrics of one entry, on a registry of its own."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+from sycamorebay.outcomes import Refusal
+
+_ADDED_BUCKETS_S = (
+    0.0001,
+    0.0002,
+    0.0003,
+    0.0004,
+    0.0005,
+    0.00062,
+    0.0008,
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.1,
+    1.0,
+)
+
+
+class Metrics:
+    """The metrics of one entry daemon; see docs/operations/metrics.md."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = Counter("sycamorebay_requests", "Requests taken.", registry=self.registry)
+        self.refusals = Counter(
+            "sycamorebay_refusals",
+            "Requests refused, by outcome and step.",
+            ["outcome", "step"],
+            registry=self.registry,
+        )
+        self.attempts = Counter(
+            "sycamorebay_attempts", "Attempts sent to backend servers.", registry=self.registry
+        )
+        self.added = Histogram(
+            "sycamorebay_added_seconds",
+            "Time that this entry added before the answer's head.",
+            buckets=_ADDED_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.backend = Histogram(
+            "sycamorebay_backend_seconds",
+            "Time that backend servers took until the answer's head.",
+            registry=self.registry,
+        )
+        self.revision = Gauge("sycamorebay_revision", "Revision in force.", registry=self.registry)
+        self.peers_alive = Gauge(
+            "sycamorebay_peers_alive", "Peers heard lately.", registry=self.registry
+        )
+        self.probes = Counter(
+            "sycamorebay_probes", "Probes sent to backend servers.", registry=self.registry
+        )
+        self.probe_budget = Gauge(
+            "sycamorebay_probe_budget", "Probes a second allowed.", registry=self.registry
+        )
+        self.violations = Gauge(
+            "sycamorebay_invariant_violations",
+            "Invariants that did not hold, by name.",
+            ["name"],
+            registry=self.registry,
+        )
+        self.peer_bytes = Counter(
+            "sycamorebay_peer_bytes",
+            "Bytes between peers, by direction.",
+            ["direction"],
+            registry=self.registry,
+        )
+        self.platform_calls = Counter(
+            "sycamorebay_platform_calls",
+            "Calls to the platform's service, by kind.",
+            ["kind"],
+            registry=self.registry,
+        )
+
+    def on_refusal(self, refusal: Refusal) -> None:
+        """Count a refusal."""
+        self.refusals.labels(refusal.tag, refusal.step).inc()
+
+    def text(self) -> bytes:
+        """Return all metrics in the text format."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/src/sycamorebay/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol layer: messages on the wire and their codecs; no decisions."""
--- /dev/null
+++ b/src/sycamorebay/session.py
@@ -0,0 +1,75 @@
+"""A session for programs that embed the decisions and bring their own transport."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from itertools import count
+from pathlib import Path
+
+import attrs
+
+from sycamorebay.coordination.dispatch import Dispatcher
+from sycamorebay.coordination.messages import Answer, Failure, Refuse, Request, Send
+from sycamorebay.errors import Refused
+from sycamorebay.state.document import BackendServer, Document, load_document
+
+
+@attrs.frozen
+class Placement:
+    """Where one request goes."""
+
+    request: Request
+    backend_server: BackendServer
+    deadline: float
+
+
+class Session:
+    """Places requests by one document.
+
+    Parameters
+    ----------
+    document : Document or str or Path
+        A document, or the file that holds it.
+    seed : int, optional
+        Seed of the random choices.
+    """
+
+    def __init__(self, document: Document | str | Path, seed: int | None = None) -> None:
+        if not isinstance(document, Document):
+            document = load_document(Path(document).read_bytes())
+        self._dispatcher = Dispatcher(random.Random(seed))
+        self._dispatcher.on_document(time.monotonic(), document)
+        self._ids = count(1)
+
+    def __enter__(self) -> Session:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        return None
+
+    @contextmanager
+    def request(self, method: str, host: str, path: str) -> Iterator[Placement]:
+        """Place one request; its slot is held until the block ends.
+
+        Raises
+        ------
+        Refused
+            Where no backend server may take it.
+        """
+        request = Request(next(self._ids), host, method, path)
+        action = self._dispatcher.on_request(time.monotonic(), request)[0]
+        if isinstance(action, Refuse):
+            raise Refused(action.refusal, request)
+        if not isinstance(action, Send):
+            raise RuntimeError(f"no placement can follow {action}")
+        try:
+            yield Placement(request, action.backend_server, action.deadline)
+        except BaseException:
+            failure = Failure("call", True, "the block raised")
+            self._dispatcher.on_failure(time.monotonic(), action.attempt_id, failure)
+            raise
+        self._dispatcher.on_answer(time.monotonic(), action.attempt_id, Answer(200))
+        self._dispatcher.on_end(time.monotonic(), action.attempt_id)
--- /dev/null
+++ b/src/sycamorebay/settings.py
@@ -0,0 +1,142 @@
+"""Settings of one entry daemon, checked before anything starts."""
+
+from __future__ import annotations
+
+import json
+from importlib import resources
+from pathlib import Path
+from typing import Any
+
+import attrs
+import cattrs
+
+from sycamorebay.errors import SettingsError
+from sycamorebay.state.faults import Fault, fault_at, schema_faults
+
+MIN_SECRET_BYTES = 16
+
+
+@attrs.frozen
+class Listen:
+    """An IP address and a port."""
+
+    address: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.address}:{self.port}"
+
+
+@attrs.frozen
+class PlatformSettings:
+    """How to reach the platform's service.
+
+    Attributes
+    ----------
+    url : str
+        Base URL of the key-value service.
+    vm_list_url : str
+        URL of the list of VMs; empty for none.
+    timeout_s : float
+        Time limit of one call in seconds.
+    lease_s : int
+        Length of this entry's lease in seconds.
+    calls_per_second : float
+        Most calls that this entry may start in a second.
+    """
+
+    url: str
+    vm_list_url: str = ""
+    timeout_s: float = 2.0
+    lease_s: int = 10
+    calls_per_second: float = 5.0
+
+
+@attrs.frozen
+class StopSettings:
+    """How a planned stop goes.
+
+    Attributes
+    ----------
+    notice_s : float
+        Seconds of listening after readiness fails, for the platform's balancer.
+    limit_s : float
+        Seconds that requests in flight may take after that.
+    """
+
+    notice_s: float = 5.0
+    limit_s: float = 30.0
+
+
+@attrs.frozen
+class LogSettings:
+    """Format and level of the log."""
+
+    format: str = "json"
+    level: str = "info"
+
+
+@attrs.frozen
+class Settings:
+    """All settings of an entry daemon; see ``sycamorebay schema``."""
+
+    id: str
+    failure_domain: str
+    callers: Listen
+    operators: Listen
+    peers: Listen
+    platform: PlatformSettings
+    environment: str = "production"
+    secret_file: str = ""
+    heartbeat_s: float = 1.0
+    stop: StopSettings = attrs.field(factory=StopSettings)
+    log: LogSettings = attrs.field(factory=LogSettings)
+
+    def secrets(self) -> list[bytes]:
+        """Return the shared secrets, newest first; none where no file is named."""
+        if not self.secret_file:
+            return []
+        lines = Path(self.secret_file).read_bytes().splitlines()
+        return [line.strip() for line in lines if line.strip()]
+
+
+def settings_schema() -> dict[str, Any]:
+    """Return the JSON Schema of an entry's settings."""
+    text = resources.files("sycamorebay.state").joinpath("settings.schema.json").read_text()
+    return json.loads(text)
+
+
+def settings_faults(data: Any) -> list[Fault]:
+    """Return every fault of parsed settings."""
+    faults = schema_faults(settings_schema(), data)
+    if isinstance(data, dict) and isinstance(data.get("secret_file"), str):
+        faults += _secret_faults(data["secret_file"])
+    return faults
+
+
+def _secret_faults(name: str) -> list[Fault]:
+    try:
+        lines = Path(name).read_bytes().split()
+    except OSError as error:
+        return [fault_at("secret_file", name, f"a readable file ({error.strerror})")]
+    if not lines or any(len(line) < MIN_SECRET_BYTES for line in lines):
+        return [fault_at("secret_file", name, f"lines of at least {MIN_SECRET_BYTES} bytes")]
+    return []
+
+
+def load_settings(path: str | Path) -> Settings:
+    """Read and check a settings file.
+
+    Raises
+    ------
+    SettingsError
+        With every fault found.
+    """
+    try:
+        data = json.loads(Path(path).read_text())
+    except (OSError, ValueError) as error:
+        raise SettingsError([fault_at("", str(path), f"a readable JSON file ({error})")]) from error
+    faults = settings_faults(data)
+    if faults:
+        raise SettingsError(faults)
+    return cattrs.structure(data, Settings)
--- /dev/null
+++ b/src/sycamorebay/state/backends.py
@@ -0,0 +1,90 @@
+"""What an entry knows of each backend server."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import attrs
+
+from sycamorebay.state.document import BackendServer, Document, Service
+
+
+@attrs.frozen
+class LoadReport:
+    """A backend server's own word on its load.
+
+    Attributes
+    ----------
+    in_flight : int
+        Requests that it runs.
+    queued : int
+        Requests that wait in it.
+    leaving : bool
+        Whether it is draining.
+    """
+
+    in_flight: int
+    queued: int = 0
+    leaving: bool = False
+
+
+@attrs.define
+class BackendState:
+    """State of one backend server as this entry sees it.
+
+    Attributes
+    ----------
+    server : BackendServer
+        Its entry in the document.
+    in_flight : int
+        This entry's own requests in flight there.
+    report : LoadReport or None
+        Latest report, always stale.
+    reported_at : float
+        When the report came, in seconds.
+    leaving : bool
+        Whether it gets no new work.
+    """
+
+    server: BackendServer
+    in_flight: int = 0
+    report: LoadReport | None = None
+    reported_at: float = 0.0
+    leaving: bool = False
+
+
+class BackendTable:
+    """The backend servers of a document, kept across its revisions."""
+
+    def __init__(self) -> None:
+        self._by_id: dict[str, BackendState] = {}
+        self._by_service: dict[str, list[BackendState]] = {}
+
+    def replace(self, document: Document) -> None:
+        """Take over a new document; what is known of a server that stays is kept."""
+        known = self._by_id
+        self._by_id = {}
+        self._by_service = {}
+        for service in document.services:
+            states = [self._carry_over(known, server) for server in service.backend_servers]
+            self._by_service[service.name] = states
+            self._by_id.update((state.server.id, state) for state in states)
+
+    @staticmethod
+    def _carry_over(known: dict[str, BackendState], server: BackendServer) -> BackendState:
+        state = known.get(server.id)
+        if state is None or state.server.address != server.address:
+            return BackendState(server)
+        state.server = server
+        return state
+
+    def get(self, server_id: str) -> BackendState | None:
+        """Return the state of a backend server, or None where it is not in the document."""
+        return self._by_id.get(server_id)
+
+    def of(self, service: Service) -> list[BackendState]:
+        """Return the states of a service's backend servers."""
+        return self._by_service.get(service.name, [])
+
+    def __iter__(self) -> Iterator[BackendState]:
+        return iter(self._by_id.values())
--- /dev/null
+++ b/src/sycamorebay/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Transport layer: tasks that own sockets and talk by messages; no policy."""
--- /dev/null
+++ b/src/sycamorebay/transport/peers.py
@@ -0,0 +1,248 @@
+"""Links between entries: authenticated TCP connections that carry thrift messages."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import hmac
+import os
+from collections.abc import AsyncIterator, Awaitable, Callable
+from itertools import count
+
+from sycamorebay import log
+from sycamorebay.coordination.membership import Member
+from sycamorebay.errors import PeerError
+from sycamorebay.metrics import Metrics
+from sycamorebay.protocol import frames
+from sycamorebay.protocol.frames import Sealer
+from sycamorebay.protocol.generated.peers.ttypes import Body, Envelope, Failed
+from sycamorebay.settings import Listen
+
+HANDSHAKE_TIMEOUT_S = 2.0
+
+_log = log.part("peers")
+
+Handler = Callable[[Body], Awaitable[Body | None]]
+
+
+class Link:
+    """One authenticated connection; calls may overlap.
+
+    Parameters
+    ----------
+    reader, writer : asyncio streams
+        The connection, after its handshake.
+    incoming, outgoing : Sealer
+        Hashes of each direction.
+    handler : callable
+        Answers the other side's messages; None where there is no answer.
+    """
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        incoming: Sealer,
+        outgoing: Sealer,
+        handler: Handler,
+        metrics: Metrics,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._incoming = incoming
+        self._outgoing = outgoing
+        self._handler = handler
+        self._received = metrics.peer_bytes.labels("in")
+        self._sent = metrics.peer_bytes.labels("out")
+        self._ids = count(1)
+        self._by_correlation: dict[int, asyncio.Future[Body]] = {}
+
+    def send(self, body: Body) -> None:
+        """Send a message that wants no answer."""
+        self._write(Envelope(0, body))
+
+    async def call(self, body: Body, timeout_s: float) -> Body:
+        """Send a message and return its answer.
+
+        Raises
+        ------
+        PeerError
+            Where none came in time, or the peer failed.
+        """
+        correlation = next(self._ids)
+        future: asyncio.Future[Body] = asyncio.get_running_loop().create_future()
+        self._by_correlation[correlation] = future
+        try:
+            self._write(Envelope(correlation, body))
+            async with asyncio.timeout(timeout_s):
+                answer = await future
+        except TimeoutError as error:
+            raise PeerError("no answer in time", step="call") from error
+        finally:
+            del self._by_correlation[correlation]
+        if answer.failed is not None:
+            raise PeerError(answer.failed.reason, step="call")
+        return answer
+
+    async def run(self) -> None:
+        """Read messages until the connection ends."""
+        try:
+            while True:
+                await self._on_envelope(frames.decode(await self._read()))
+        finally:
+            for future in self._by_correlation.values():
+                if not future.done():
+                    future.set_exception(PeerError("the link ended", step="call"))
+            self._writer.close()
+
+    async def _on_envelope(self, envelope: Envelope) -> None:
+        correlation = envelope.correlation
+        if correlation < 0:
+            future = self._by_correlation.get(-correlation)
+            if future is not None and not future.done():
+                future.set_result(envelope.body)
+            return
+        answer = await self._handler(envelope.body)
+        if correlation > 0:
+            failed = Body(failed=Failed("no answer to this message"))
+            self._write(Envelope(-correlation, answer or failed))
+
+    async def _read(self) -> bytes:
+        length = int.from_bytes(await self._reader.readexactly(frames.LENGTH_BYTES), "big")
+        if not frames.FRAME_MAC_BYTES < length <= frames.MAX_FRAME_BYTES:
+            raise PeerError(f"a frame of {length} bytes", step="read")
+        self._received.inc(length + frames.LENGTH_BYTES)
+        return self._incoming.open(await self._reader.readexactly(length))
+
+    def _write(self, envelope: Envelope) -> None:
+        if self._writer.is_closing():
+            raise PeerError("the link is closed", step="write")
+        data = self._outgoing.frame(frames.encode(envelope))
+        self._sent.inc(len(data))
+        self._writer.write(data)
+
+
+async def _accept_handshake(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, secrets: list[bytes]
+) -> bytes:
+    nonce = os.urandom(frames.NONCE_BYTES)
+    writer.write(nonce)
+    reply = await reader.readexactly(frames.NONCE_BYTES + frames.MAC_BYTES)
+    dialer_nonce = reply[: frames.NONCE_BYTES]
+    for secret in secrets:
+        expected = frames.proof(secret, b"dial", nonce, dialer_nonce)
+        if hmac.compare_digest(expected, reply[frames.NONCE_BYTES :]):
+            writer.write(frames.proof(secret, b"listen", nonce, dialer_nonce))
+            return frames.proof(secret, b"session", nonce, dialer_nonce)
+    raise PeerError("a stranger", step="authenticate")
+
+
+async def _dial_handshake(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, secret: bytes
+) -> bytes:
+    nonce = await reader.readexactly(frames.NONCE_BYTES)
+    own = os.urandom(frames.NONCE_BYTES)
+    writer.write(own + frames.proof(secret, b"dial", nonce, own))
+    reply = await reader.readexactly(frames.MAC_BYTES)
+    if not hmac.compare_digest(reply, frames.proof(secret, b"listen", nonce, own)):
+        raise PeerError("a stranger", step="authenticate")
+    return frames.proof(secret, b"session", nonce, own)
+
+
+class PeerNetwork:
+    """An entry's listener and its links to its peers.
+
+    Parameters
+    ----------
+    listen : Listen
+        Where peers reach this entry.
+    secrets : list of bytes
+        Shared secrets, newest first.
+    handler : callable
+        Answers messages.
+    metrics : Metrics
+        Counts bytes.
+    """
+
+    def __init__(
+        self, listen: Listen, secrets: list[bytes], handler: Handler, metrics: Metrics
+    ) -> None:
+        self._listen = listen
+        self._secrets = secrets
+        self._handler = handler
+        self._metrics = metrics
+        self._links_by_address: dict[str, Link] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @contextlib.asynccontextmanager
+    async def open(self) -> AsyncIterator[PeerNetwork]:
+        """Listen, and close every link at the end."""
+        server = await asyncio.start_server(
+            self._accept, self._listen.address, self._listen.port, backlog=256
+        )
+        try:
+            yield self
+        finally:
+            server.close()
+            for task in list(self._tasks):
+                task.cancel()
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def link(self, peer: Member) -> Link:
+        """Return a link to a peer, dialled where there is none.
+
+        Raises
+        ------
+        PeerError
+            Where the peer can't be reached.
+        """
+        link = self._links_by_address.get(peer.address)
+        if link is not None:
+            return link
+        try:
+            return await self._dial(peer.address)
+        except (OSError, EOFError, TimeoutError) as error:
+            reason = str(error) or type(error).__name__
+            raise PeerError(reason, step="connect", peer=peer.id) from error
+
+    async def _dial(self, address: str) -> Link:
+        host, _, port = address.rpartition(":")
+        async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            try:
+                key = await _dial_handshake(reader, writer, self._secrets[0])
+            except BaseException:
+                writer.close()
+                raise
+        incoming, outgoing = Sealer(key, b"to-dialer"), Sealer(key, b"to-listener")
+        link = Link(reader, writer, incoming, outgoing, self._handler, self._metrics)
+        self._links_by_address[address] = link
+        task = self._start(link)
+        task.add_done_callback(lambda _: self._links_by_address.pop(address, None))
+        return link
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+                key = await _accept_handshake(reader, writer, self._secrets)
+        except (OSError, EOFError, TimeoutError, PeerError) as error:
+            _log.warning("dialer dropped", reason=str(error) or type(error).__name__)
+            writer.close()
+            return
+        incoming, outgoing = Sealer(key, b"to-listener"), Sealer(key, b"to-dialer")
+        self._start(Link(reader, writer, incoming, outgoing, self._handler, self._metrics))
+
+    def _start(self, link: Link) -> asyncio.Task[None]:
+        task = asyncio.create_task(_run_quietly(link))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+
+async def _run_quietly(link: Link) -> None:
+    try:
+        await link.run()
+    except (OSError, EOFError):
+        pass
+    except PeerError as error:
+        _log.warning("link dropped", step=error.step, reason=str(error))
--- /dev/null
+++ b/src/sycamorebay/transport/platform.py
@@ -0,0 +1,218 @@
+"""The platform's service: a key-value store with compare-and-swap, leases and watches.
+
+Spoken as the JSON gateway of etcd's v3 API.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any, Protocol
+
+import aiohttp
+import attrs
+
+from sycamorebay.errors import PlatformError
+from sycamorebay.settings import PlatformSettings
+
+
+@attrs.frozen
+class Stored:
+    """A key's value in the store.
+
+    Attributes
+    ----------
+    key : str
+        The key.
+    value : bytes or None
+        Its value; None where it was deleted.
+    version : int
+        The store's revision of its last change.
+    """
+
+    key: str
+    value: bytes | None
+    version: int
+
+
+@attrs.frozen
+class Listing:
+    """All keys under a prefix at one version of the store."""
+
+    items: tuple[Stored, ...]
+    version: int
+
+
+class Store(Protocol):
+    """What this product needs of the platform's key-value service."""
+
+    async def read(self, key: str) -> Stored | None:
+        """Return a key's value, or None."""
+        ...
+
+    async def read_prefix(self, prefix: str) -> Listing:
+        """Return all keys under a prefix."""
+        ...
+
+    async def swap(self, key: str, value: bytes, version: int) -> bool:
+        """Write if the key is at `version` still, 0 for absent; whether it was."""
+        ...
+
+    async def grant(self, ttl_s: int) -> int:
+        """Return a new lease."""
+        ...
+
+    async def keep_alive(self, lease: int) -> bool:
+        """Renew a lease; False where it has lapsed."""
+        ...
+
+    async def revoke(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+        ...
+
+    async def put(self, key: str, value: bytes, lease: int) -> None:
+        """Write a key that goes with a lease."""
+        ...
+
+    def watch(self, prefix: str, version: int) -> AsyncIterator[Stored]:
+        """Yield each change under a prefix from a version on."""
+        ...
+
+
+class EtcdStore:
+    """A `Store` over etcd's JSON gateway.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Connections to the service.
+    settings : PlatformSettings
+        Where it is and how long a call may take.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, settings: PlatformSettings) -> None:
+        self._session = session
+        self._settings = settings
+
+    async def read(self, key: str) -> Stored | None:
+        """Return a key's value, or None."""
+        reply = await self._call("/v3/kv/range", {"key": _encode(key.encode())})
+        kvs = reply.get("kvs") or []
+        return _stored(kvs[0]) if kvs else None
+
+    async def read_prefix(self, prefix: str) -> Listing:
+        """Return all keys under a prefix."""
+        reply = await self._call("/v3/kv/range", _prefix_range(prefix))
+        items = tuple(_stored(kv) for kv in reply.get("kvs") or [])
+        return Listing(items, int(reply["header"]["revision"]))
+
+    async def swap(self, key: str, value: bytes, version: int) -> bool:
+        """Write if the key is at `version` still, 0 for absent; whether it was."""
+        encoded = _encode(key.encode())
+        compare = {
+            "key": encoded,
+            "target": "MOD",
+            "result": "EQUAL",
+            "mod_revision": str(version),
+        }
+        put = {"request_put": {"key": encoded, "value": _encode(value)}}
+        reply = await self._call("/v3/kv/txn", {"compare": [compare], "success": [put]})
+        return bool(reply.get("succeeded", False))
+
+    async def grant(self, ttl_s: int) -> int:
+        """Return a new lease."""
+        reply = await self._call("/v3/lease/grant", {"TTL": str(ttl_s)})
+        return int(reply["ID"])
+
+    async def keep_alive(self, lease: int) -> bool:
+        """Renew a lease; False where it has lapsed."""
+        reply = await self._call("/v3/lease/keepalive", {"ID": str(lease)})
+        return int(reply.get("result", {}).get("TTL", 0)) > 0
+
+    async def revoke(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+        await self._call("/v3/lease/revoke", {"ID": str(lease)})
+
+    async def put(self, key: str, value: bytes, lease: int) -> None:
+        """Write a key that goes with a lease."""
+        body = {"key": _encode(key.encode()), "value": _encode(value), "lease": str(lease)}
+        await self._call("/v3/kv/put", body)
+
+    async def watch(self, prefix: str, version: int) -> AsyncIterator[Stored]:
+        """Yield each change under a prefix from a version on."""
+        request = {"create_request": {**_prefix_range(prefix), "start_revision": str(version)}}
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._settings.timeout_s)
+        url = self._settings.url + "/v3/watch"
+        try:
+            async with self._session.post(url, json=request, timeout=timeout) as response:
+                response.raise_for_status()
+                async for line in _lines(response.content):
+                    for event in _result(line).get("events") or []:
+                        yield _changed(event)
+        except (aiohttp.ClientError, OSError, ValueError, KeyError) as error:
+            raise self._error("watch", error) from error
+        raise PlatformError("the watch ended", step="watch", peer=self._settings.url)
+
+    async def _call(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        timeout = aiohttp.ClientTimeout(total=self._settings.timeout_s)
+        try:
+            async with self._session.post(
+                self._settings.url + path, json=body, timeout=timeout
+            ) as response:
+                response.raise_for_status()
+                return await response.json()
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            raise self._error(path, error) from error
+
+    def _error(self, step: str, error: Exception) -> PlatformError:
+        reason = str(error) or type(error).__name__
+        return PlatformError(reason, step=step, peer=self._settings.url)
+
+
+@asynccontextmanager
+async def open_store(settings: PlatformSettings) -> AsyncIterator[EtcdStore]:
+    """Open a `Store`, and close its connections at the end."""
+    async with aiohttp.ClientSession(read_bufsize=2**21) as session:
+        yield EtcdStore(session, settings)
+
+
+async def _lines(content: aiohttp.StreamReader) -> AsyncIterator[bytes]:
+    buffer = bytearray()
+    async for chunk in content.iter_any():
+        buffer += chunk
+        while (end := buffer.find(b"\n")) >= 0:
+            yield bytes(buffer[:end])
+            del buffer[: end + 1]
+
+
+def _result(line: bytes) -> dict[str, Any]:
+    if not line.strip():
+        return {}
+    result = json.loads(line)["result"]
+    if result.get("canceled"):
+        raise ValueError("the watch was cancelled")
+    return result
+
+
+def _changed(event: dict[str, Any]) -> Stored:
+    stored = _stored(event["kv"])
+    if event.get("type") == "DELETE":
+        return attrs.evolve(stored, value=None)
+    return stored
+
+
+def _stored(kv: dict[str, Any]) -> Stored:
+    key = base64.b64decode(kv["key"]).decode()
+    return Stored(key, base64.b64decode(kv.get("value", "")), int(kv["mod_revision"]))
+
+
+def _encode(value: bytes) -> str:
+    return base64.b64encode(value).decode()
+
+
+def _prefix_range(prefix: str) -> dict[str, str]:
+    start = prefix.encode()
+    end = start[:-1] + bytes([start[-1] + 1])
+    return {"key": _encode(start), "range_end": _encode(end)}
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and for backend servers; never installed with the package."""
--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,57 @@
+"""What several tests share."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import json
+from collections.abc import Callable, Coroutine
+from random import Random
+from typing import Any
+
+from bench.fleet import Shape, service
+from sycamorebay.coordination.dispatch import Dispatcher
+from sycamorebay.coordination.invariants import Invariants
+from sycamorebay.state.document import Document, load_document
+
+DOMAINS = ("a", "b")
+ROUTES = [
+    {"methods": ["GET", "HEAD"], "path": "/prices", "idempotent": True, "deadline_ms": 2000},
+    {"methods": ["GET"], "path": "/bytes", "idempotent": True, "deadline_ms": 20000},
+    {"methods": ["POST", "PUT"], "path": "/bids", "deadline_ms": 2000},
+]
+
+
+def asynchronous(test: Callable[..., Coroutine[Any, Any, None]]) -> Callable[..., None]:
+    """Run a test that is a coroutine, within a minute."""
+
+    @functools.wraps(test)
+    def run(*args: Any) -> None:
+        asyncio.run(asyncio.wait_for(test(*args), 60))
+
+    return run
+
+
+def raw_document(servers: int = 4) -> dict[str, Any]:
+    """Return a document of one service, without addresses."""
+    return {"format": 1, "services": [service("desk", servers, 2, DOMAINS, ROUTES)]}
+
+
+def document(servers: int = 4) -> Document:
+    """Return a checked document of one service."""
+    data = raw_document(servers)
+    for index, server in enumerate(data["services"][0]["backend_servers"]):
+        server["address"] = f"127.0.0.1:{10000 + index}"
+    return load_document(json.dumps(data).encode())
+
+
+def dispatcher(seed: int = 1, servers: int = 4) -> Dispatcher:
+    """Return a dispatcher with a document in force and strict invariants."""
+    made = Dispatcher(Random(seed), invariants=Invariants(strict=True))
+    made.on_document(0.0, document(servers))
+    return made
+
+
+def small_shape(entries: int = 2, **settings: Any) -> Shape:
+    """Return a small fleet."""
+    return Shape(entries, raw_document(), 1, {"work_ms": 5.0}, settings)
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,81 @@
+from __future__ import annotations
+
+import testtools
+
+from sycamorebay.coordination.messages import (
+    Answer,
+    Cancel,
+    Deliver,
+    Failure,
+    Refuse,
+    Request,
+    Send,
+)
+from sycamorebay.state.backends import LoadReport
+from tests.support import dispatcher
+
+
+def price(number: int = 1) -> Request:
+    return Request(number, "desk.test", "GET", "/prices/7")
+
+
+def bid(number: int = 1) -> Request:
+    return Request(number, "desk.test", "POST", "/bids")
+
+
+class DispatchTest(testtools.TestCase):
+    def test_sends_to_an_allowed_server_and_delivers(self):
+        made = dispatcher()
+        (send,) = made.on_request(0.0, price())
+        self.assertIsInstance(send, Send)
+        self.assertEqual(2.0, send.deadline)
+        actions = made.on_answer(0.1, send.attempt_id, Answer(200))
+        self.assertEqual([Deliver(1, send.attempt_id)], actions)
+        made.on_end(0.2, send.attempt_id)
+        self.assertEqual(0, made.backends.get(send.backend_server.id).in_flight)
+
+    def test_refuses_unknown_hosts_and_routes(self):
+        made = dispatcher()
+        (refuse,) = made.on_request(0.0, Request(1, "other.test", "GET", "/"))
+        self.assertEqual(("not-run", 404), (refuse.refusal.tag, refuse.refusal.status))
+        (refuse,) = made.on_request(0.0, Request(2, "desk.test", "GET", "/nothing"))
+        self.assertEqual(("not-run", 404), (refuse.refusal.tag, refuse.refusal.status))
+
+    def test_a_shed_request_moves_to_another_server(self):
+        made = dispatcher()
+        (first,) = made.on_request(0.0, bid())
+        (second,) = made.on_answer(0.1, first.attempt_id, Answer(503, shed=True))
+        self.assertIsInstance(second, Send)
+        self.assertNotEqual(first.backend_server.id, second.backend_server.id)
+
+    def test_a_written_bid_is_never_sent_twice(self):
+        made = dispatcher()
+        (send,) = made.on_request(0.0, bid())
+        (refuse,) = made.on_failure(0.1, send.attempt_id, Failure("answer", True, "lost"))
+        self.assertEqual("unknown", refuse.refusal.tag)
+
+    def test_retries_stay_within_their_budget(self):
+        made = dispatcher()
+        sends = 0
+        for number in range(100):
+            actions = made.on_request(0.0, price(number))
+            while isinstance(actions[0], Send):
+                sends += 1
+                failure = Failure("connect", False, "refused")
+                actions = made.on_failure(0.0, actions[0].attempt_id, failure)
+            self.assertIsInstance(actions[0], Refuse)
+            self.assertEqual("not-run", actions[0].refusal.tag)
+        self.assertLessEqual(sends, 111)
+
+    def test_a_leaving_server_gets_no_new_work(self):
+        made = dispatcher(servers=2)
+        made.on_report(0.0, "desk-0", LoadReport(0, leaving=True))
+        servers = {made.on_request(0.0, price(n))[0].backend_server.id for n in range(20)}
+        self.assertEqual({"desk-1"}, servers)
+
+    def test_a_gone_caller_frees_its_slot(self):
+        made = dispatcher()
+        (send,) = made.on_request(0.0, price())
+        self.assertEqual([Cancel(1, send.attempt_id)], made.on_caller_gone(0.1, 1))
+        self.assertEqual(0, made.backends.get(send.backend_server.id).in_flight)
+        self.assertEqual([], made.on_answer(0.2, send.attempt_id, Answer(200)))
