--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -51,7 +51,7 @@
 
     async def check_cut_answer(self, fleet: Fleet) -> None:
         await fleet.control_backend("all", cut=True)
-        with testtools.ExpectedException(aiohttp.ClientError):
+        with testtools.ExpectedException(aiohttp.ClientPayloadError):
             async with fleet.http.get(fleet.url(0) + "/prices/7", headers=HOST) as response:
                 await response.read()
         await fleet.control_backend("all", cut=False)
