--- a/src/sycamorebay/protocol/headers.py
+++ b/src/sycamorebay/protocol/headers.py
@@ -63,3 +63,11 @@
     if in_flight < 0 or queued < 0:
         return None
     return LoadReport(in_flight, queued, leaving)
+
+
+def header_value(headers: Headers, wanted: str) -> str | None:
+    """Return the first value of a header named in lower case, or None."""
+    for name, value in headers:
+        if name == wanted:
+            return value
+    return None
--- a/src/sycamorebay/transport/forward.py
+++ b/src/sycamorebay/transport/forward.py
@@ -9,7 +9,6 @@
 from typing import Protocol
 
 import attrs
-import xxhash
 
 from sycamorebay import log
 from sycamorebay.coordination.dispatch import Dispatcher
@@ -23,23 +22,16 @@
     Request,
     Send,
 )
-from sycamorebay.coordination.operations import (
-    KeptAnswer,
-    Operation,
-    Operations,
-    Reject,
-    Replay,
-)
+from sycamorebay.coordination.operations import KeptAnswer, Operations
 from sycamorebay.metrics import Metrics
 from sycamorebay.outcomes import NotRun, Refusal
 from sycamorebay.protocol import headers as names
-from sycamorebay.protocol.headers import Headers, end_to_end, load_report
+from sycamorebay.protocol.headers import Headers, end_to_end, header_value, load_report
 from sycamorebay.protocol.problem import MEDIA_TYPE, problem_body
+from sycamorebay.transport.operate import Operator
 from sycamorebay.transport.upstream import AttemptError, BackendAnswer, OutgoingRequest, Upstream
 
 MAX_REPLAYABLE_BYTES = 65_536
-MAX_KEPT_ANSWER_BYTES = 16_384
-MAX_KEY_CHARS = 255
 
 _log = log.part("forward")
 
@@ -88,7 +80,7 @@
 
 
 @attrs.define
-class _Exchange:
+class Exchange:
     """State of one request in flight."""
 
     incoming: IncomingRequest
@@ -99,6 +91,11 @@
     mailbox: asyncio.Future[Action] | None = None
     backend_s: float = 0.0
 
+    @staticmethod
+    def replay(kept: KeptAnswer) -> OutgoingAnswer:
+        """Return a kept answer as the caller gets it."""
+        return OutgoingAnswer(kept.status, list(kept.headers), kept.body)
+
 
 class ForwardedBody:
     """The body of a backend server's answer on its way to the caller.
@@ -173,12 +170,12 @@
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._dispatcher = dispatcher
-        self._operations = operations
+        self._operator = Operator(operations, self._run, self._refused, clock)
         self._upstream = upstream
         self._metrics = metrics
         self._clock = clock
         self._ids = count(1)
-        self._by_request: dict[int, _Exchange] = {}
+        self._by_request: dict[int, Exchange] = {}
 
     @property
     def in_flight(self) -> int:
@@ -190,12 +187,12 @@
         arrived = self._clock()
         self._metrics.requests.inc()
         exchange = await self._open(incoming, arrived)
-        key = _header(incoming.headers, names.IDEMPOTENCY_KEY)
+        key = header_value(incoming.headers, names.IDEMPOTENCY_KEY)
         self._by_request[exchange.request.id] = exchange
         try:
             if key is None:
                 return await self._run(exchange)
-            return await self._run_operation(exchange, key)
+            return await self._operator.operate(exchange, key)
         except asyncio.CancelledError:
             self._carry_out(self._dispatcher.on_caller_gone(self._clock(), exchange.request.id))
             raise
@@ -206,7 +203,7 @@
         """Carry out actions that no request's own event returned, such as a timer's."""
         self._carry_out(actions)
 
-    async def _open(self, incoming: IncomingRequest, arrived: float) -> _Exchange:
+    async def _open(self, incoming: IncomingRequest, arrived: float) -> Exchange:
         body: bytes | AsyncIterator[bytes] | None = None
         if incoming.has_body():
             length = incoming.content_length
@@ -223,37 +220,10 @@
             replayable=body is None or isinstance(body, bytes),
             deadline_s=_deadline_s(incoming.headers),
         )
-        log_id = _header(incoming.headers, names.REQUEST_ID) or f"{id(self):x}-{request_id}"
-        return _Exchange(incoming, request, log_id, arrived, body)
-
-    async def _run_operation(self, exchange: _Exchange, key: str) -> OutgoingAnswer:
-        fingerprint = _fingerprint(exchange)
-        first_send = _header(exchange.incoming.headers, names.ATTEMPT) == "1"
-        if len(key) > MAX_KEY_CHARS or fingerprint is None:
-            reason = "the key is too long or the body of a keyed operation is too large"
-            return self._refused(exchange, NotRun("operation", "", reason, 400))
-        operation = Operation(key, fingerprint, first_send)
-        decision = self._operations.on_operation(self._clock(), operation)
-        if isinstance(decision, Replay):
-            kept = decision.answer
-            return OutgoingAnswer(kept.status, list(kept.headers), kept.body)
-        if isinstance(decision, Reject):
-            return self._refused(exchange, decision.refusal)
-        answer = await self._run(exchange)
-        return await self._keep(key, answer)
-
-    async def _keep(self, key: str, answer: OutgoingAnswer) -> OutgoingAnswer:
-        if isinstance(answer.body, bytes):
-            if (names.OUTCOME, NotRun.tag) in answer.headers:
-                self._operations.on_not_run(self._clock(), key)
-            return answer
-        body = b"".join([chunk async for chunk in answer.body])
-        if len(body) <= MAX_KEPT_ANSWER_BYTES:
-            kept = KeptAnswer(answer.status, tuple(answer.headers), body)
-            self._operations.on_answer(self._clock(), key, kept)
-        return OutgoingAnswer(answer.status, answer.headers, body)
-
-    async def _run(self, exchange: _Exchange) -> OutgoingAnswer:
+        log_id = header_value(incoming.headers, names.REQUEST_ID) or f"{id(self):x}-{request_id}"
+        return Exchange(incoming, request, log_id, arrived, body)
+
+    async def _run(self, exchange: Exchange) -> OutgoingAnswer:
         actions = self._dispatcher.on_request(self._clock(), exchange.request)
         while True:
             action = self._own(exchange, actions)
@@ -268,7 +238,7 @@
                 return answer
 
     async def _attempt(
-        self, exchange: _Exchange, send: Send
+        self, exchange: Exchange, send: Send
     ) -> tuple[OutgoingAnswer | None, list[Action]]:
         self._metrics.attempts.inc()
         started = self._clock()
@@ -293,7 +263,7 @@
         self._observe(exchange, now)
         return self._deliver(exchange, send, answer), actions
 
-    def _failed(self, exchange: _Exchange, send: Send, failure: Failure) -> list[Action]:
+    def _failed(self, exchange: Exchange, send: Send, failure: Failure) -> list[Action]:
         _log.warning(
             "attempt failed",
             request_id=exchange.log_id,
@@ -303,7 +273,7 @@
         )
         return self._dispatcher.on_failure(self._clock(), send.attempt_id, failure)
 
-    def _outgoing(self, exchange: _Exchange, send: Send, now: float) -> OutgoingRequest:
+    def _outgoing(self, exchange: Exchange, send: Send, now: float) -> OutgoingRequest:
         incoming = exchange.incoming
         time_left_s = max(0.0, send.deadline - now)
         headers = [
@@ -326,18 +296,18 @@
             time_left_s=time_left_s,
         )
 
-    def _deliver(self, exchange: _Exchange, send: Send, answer: BackendAnswer) -> OutgoingAnswer:
+    def _deliver(self, exchange: Exchange, send: Send, answer: BackendAnswer) -> OutgoingAnswer:
         def on_end() -> None:
             self._carry_out(self._dispatcher.on_end(self._clock(), send.attempt_id))
 
         body = ForwardedBody(answer, exchange.log_id, send.backend_server.id, on_end)
         return OutgoingAnswer(answer.status, end_to_end(answer.headers), body)
 
-    def _observe(self, exchange: _Exchange, now: float) -> None:
+    def _observe(self, exchange: Exchange, now: float) -> None:
         self._metrics.backend.observe(exchange.backend_s)
         self._metrics.added.observe(now - exchange.arrived - exchange.backend_s)
 
-    def _refused(self, exchange: _Exchange, refusal: Refusal) -> OutgoingAnswer:
+    def _refused(self, exchange: Exchange, refusal: Refusal) -> OutgoingAnswer:
         self._metrics.on_refusal(refusal)
         _log.info(
             "request refused",
@@ -354,13 +324,13 @@
         ]
         return OutgoingAnswer(refusal.status, headers, problem_body(refusal, exchange.log_id))
 
-    def _own(self, exchange: _Exchange, actions: list[Action]) -> Action:
+    def _own(self, exchange: Exchange, actions: list[Action]) -> Action:
         own = actions[0]
         if len(actions) > 1:
             self._carry_out(actions[1:])
         return own
 
-    async def _wait(self, exchange: _Exchange) -> Action:
+    async def _wait(self, exchange: Exchange) -> Action:
         exchange.mailbox = asyncio.get_running_loop().create_future()
         try:
             return await exchange.mailbox
@@ -375,26 +345,8 @@
                 mailbox.set_result(action)
 
 
-def _header(headers: Headers, wanted: str) -> str | None:
-    for name, value in headers:
-        if name == wanted:
-            return value
-    return None
-
-
 def _deadline_s(headers: Headers) -> float | None:
-    value = _header(headers, names.DEADLINE)
+    value = header_value(headers, names.DEADLINE)
     if value is None or not value.isdecimal():
         return None
     return int(value[:9]) / 1000
-
-
-def _fingerprint(exchange: _Exchange) -> bytes | None:
-    """Hash what a key stands for; None for a body that was not read whole."""
-    body = exchange.body
-    if body is not None and not isinstance(body, bytes):
-        return None
-    incoming = exchange.incoming
-    digest = xxhash.xxh3_128(f"{incoming.method} {incoming.host} {incoming.target}\n".encode())
-    digest.update(body or b"")
-    return digest.digest()
