--- a/src/sycamorebay/transport/admin.py
+++ b/src/sycamorebay/transport/admin.py
@@ -9,6 +9,7 @@
 
 from sycamorebay.coordination.configuration import Revision
 from sycamorebay.errors import ConflictError, PlatformError
+from sycamorebay.protocol.keys import document_key
 from sycamorebay.protocol.revisions import (
     AuditEntry,
     RevisionRecord,
@@ -16,7 +17,6 @@
     encode_record,
 )
 from sycamorebay.state.document import digest_of, load_document
-from sycamorebay.transport.daemon import document_key
 from sycamorebay.transport.platform import Store
 
 MAX_TRAIL_ENTRIES = 200
