--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -140,10 +140,15 @@
         """Put a document in force by the operators' command line."""
         path = self.directory / "document.json"
         path.write_text(json.dumps(document))
-        command = [sys.executable, "-m", "sycamorebay", "config", "apply", str(path)]
-        subprocess.run(
-            [*command, "--platform", self.platform_url], check=True, stdout=subprocess.DEVNULL
+        self.config("apply", str(path), "--untried")
+
+    def config(self, command: str, *arguments: str, check: bool = True) -> str:
+        """Run one of the operators' commands and return what it printed."""
+        words = [sys.executable, "-m", "sycamorebay", "config", command, *arguments]
+        done = subprocess.run(
+            [*words, "--platform", self.platform_url], check=check, capture_output=True, text=True
         )
+        return done.stdout
 
     def kill(self, name: str) -> None:
         """Kill one process at once."""
--- /dev/null
+++ b/src/sycamorebay/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Groups of commands of the command line."""
--- /dev/null
+++ b/src/sycamorebay/commands/config.py
@@ -0,0 +1,270 @@
+"""``sycamorebay config``: check and change an environment's document."""
+
+from __future__ import annotations
+
+import asyncio
+import getpass
+import json
+import sys
+import time
+import uuid
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import attrs
+import click
+
+from sycamorebay import log
+from sycamorebay.commands.shared import EXIT_DIFFERS, EXIT_LAGGING, exit_codes, tell, with_store
+from sycamorebay.errors import PlatformError
+from sycamorebay.settings import LogSettings
+from sycamorebay.state.difference import differences
+from sycamorebay.state.document import load_document
+from sycamorebay.transport import admin
+from sycamorebay.transport.admin import Accepted, Change
+from sycamorebay.transport.platform import Store
+
+_POLL_S = 0.5
+
+
+@attrs.frozen
+class ChangeOptions:
+    """Options that all changing commands share."""
+
+    url: str
+    reason: str
+    nonce: str
+    expected: int | None
+    wait_s: float
+    as_json: bool
+
+    def change(self, action: str, text: bytes = b"") -> Change:
+        """Return the change that these options describe."""
+        author = getpass.getuser()
+        return Change(text, action, author, self.reason, self.nonce, self.expected)
+
+
+_platform_option = click.option("--platform", "url", required=True, help="URL of the service.")
+_environment_option = click.option("--environment", default="production", show_default=True)
+_json_option = click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+
+
+def _change_options(command: Callable[..., None]) -> Callable[..., None]:
+    def run(
+        url: str,
+        reason: str,
+        nonce: str,
+        expected: int | None,
+        wait_s: float,
+        as_json: bool,
+        **rest: Any,
+    ) -> None:
+        nonce = nonce or uuid.uuid4().hex
+        command(ChangeOptions(url, reason, nonce, expected, wait_s, as_json), **rest)
+
+    run.__doc__ = command.__doc__
+    run.__name__ = command.__name__
+    for option in (
+        _platform_option,
+        click.option("--reason", default="", help="For the audit trail."),
+        click.option("--nonce", default="", help="Name of this change; never applied twice."),
+        click.option("--expect", "expected", type=int, help="Revision that must be in force."),
+        click.option("--wait", "wait_s", type=float, default=0.0, help="Seconds to wait for all."),
+        _json_option,
+    ):
+        run = option(run)
+    return run
+
+
+@click.group()
+def config() -> None:
+    """Check and change the environment's document."""
+    log.configure(LogSettings(format="console", level="warning"))
+
+
+@config.command("check")
+@click.argument("path", type=click.Path(exists=True, dir_okay=False))
+@_json_option
+def config_check(path: str, as_json: bool) -> None:
+    """Check a document and name every fault."""
+    with exit_codes(path, as_json):
+        load_document(_read(path))
+    tell({"outcome": "no faults"}, f"{path}: no faults", as_json)
+
+
+@config.command("diff")
+@click.argument("path", type=click.Path(exists=True, dir_okay=False))
+@_platform_option
+@_environment_option
+@_json_option
+def config_diff(path: str, url: str, environment: str, as_json: bool) -> None:
+    """Show what a file would change; exits with 1 where something differs."""
+    with exit_codes(path, as_json):
+        text = _read(path)
+        load_document(text)
+        history = with_store(url, lambda store: admin.read_history(store, environment))
+    before = json.loads(history.record.revision.text) if history.record else {}
+    found = differences(before, json.loads(text))
+    lines = [str(one) for one in found] or [f"same as revision {history.number}"]
+    rows = [attrs.asdict(one) for one in found]
+    tell({"revision": history.number, "differences": rows}, "\n".join(lines), as_json)
+    sys.exit(EXIT_DIFFERS if found else 0)
+
+
+@config.command("try")
+@click.argument("path", type=click.Path(exists=True, dir_okay=False))
+@click.option("--trial", default="trial", show_default=True, help="The trial environment.")
+@_change_options
+def config_try(options: ChangeOptions, path: str, trial: str) -> None:
+    """Put a document into the trial environment."""
+    _change(options, trial, path, lambda store: _apply(store, trial, options, "try", path))
+
+
+@config.command("apply")
+@click.argument("path", type=click.Path(exists=True, dir_okay=False))
+@_environment_option
+@click.option("--untried", is_flag=True, required=True, help="Say that it was not tried.")
+@_change_options
+def config_apply(options: ChangeOptions, path: str, environment: str, untried: bool) -> None:
+    """Put a document that was not tried into an environment: for its first, or in need."""
+    _change(
+        options, environment, path, lambda store: _apply(store, environment, options, "apply", path)
+    )
+
+
+@config.command("promote")
+@click.argument("digest", default="")
+@click.option("--trial", default="trial", show_default=True, help="The trial environment.")
+@_environment_option
+@_change_options
+def config_promote(options: ChangeOptions, digest: str, trial: str, environment: str) -> None:
+    """Put the trial environment's document, by digest, into production unchanged."""
+
+    async def promote(store: Store) -> Accepted:
+        text = await admin.tried_text(store, trial, digest)
+        return await admin.apply(store, environment, options.change("promote", text))
+
+    _change(options, environment, digest or trial, promote)
+
+
+@config.command("rollback")
+@click.argument("revision", type=int)
+@_environment_option
+@_change_options
+def config_rollback(options: ChangeOptions, revision: int, environment: str) -> None:
+    """Make a new revision with the document of an older one."""
+
+    def work(store: Store) -> Awaitable[Accepted]:
+        return admin.rollback(store, environment, revision, options.change("rollback"))
+
+    _change(options, environment, f"revision {revision}", work)
+
+
+@config.command("show")
+@click.argument("revision", type=int, default=0)
+@_platform_option
+@_environment_option
+@click.option("--members", is_flag=True, help="Show which revision each member has in force.")
+@_json_option
+def config_show(revision: int, url: str, environment: str, members: bool, as_json: bool) -> None:
+    """Print the document in force, or that of an older revision."""
+    if members:
+        _show_members(url, environment, as_json)
+        return
+
+    async def read(store: Store) -> bytes:
+        if revision:
+            return await admin.read_text(store, environment, revision)
+        record = (await admin.read_history(store, environment)).record
+        if record is None:
+            raise PlatformError("there is no document", step="read", peer=environment)
+        return record.revision.text
+
+    with exit_codes(environment, as_json):
+        text = with_store(url, read)
+    sys.stdout.buffer.write(text)
+
+
+@config.command("history")
+@_platform_option
+@_environment_option
+@click.option("--last", type=int, default=20, show_default=True, help="How many changes.")
+@_json_option
+def config_history(url: str, environment: str, last: int, as_json: bool) -> None:
+    """Show the latest changes: who, when, why, digest, from which revision."""
+    with exit_codes(environment, as_json):
+        history = with_store(url, lambda store: admin.read_history(store, environment))
+    entries = history.trail[-last:]
+    lines = [
+        f"{e.revision:>6}  from {e.from_revision:<6} {e.at}  {e.action:<8}  {e.digest[:12]}  "
+        f"{e.author}: {e.reason or '-'}"
+        for e in entries
+    ]
+    tell([attrs.asdict(e) for e in entries], "\n".join(lines) or "no changes", as_json)
+
+
+def _read(path: str) -> bytes:
+    return Path(path).read_bytes()
+
+
+def _apply(
+    store: Store, environment: str, options: ChangeOptions, action: str, path: str
+) -> Awaitable[Accepted]:
+    return admin.apply(store, environment, options.change(action, _read(path)))
+
+
+def _change(
+    options: ChangeOptions,
+    environment: str,
+    name: str,
+    work: Callable[[Store], Awaitable[Accepted]],
+) -> None:
+    with exit_codes(name, options.as_json):
+        accepted = with_store(options.url, work)
+        lagging: list[str] = []
+        if options.wait_s:
+            lagging = with_store(
+                options.url, lambda store: _wait(store, environment, accepted, options)
+            )
+    entry = accepted.entry
+    data = {
+        "outcome": "accepted" if accepted.changed else "accepted before",
+        "environment": environment,
+        **attrs.asdict(entry),
+        "lagging": lagging if options.wait_s else None,
+    }
+    word = "accepted" if accepted.changed else "was accepted before"
+    tell(data, f"revision {entry.revision} {word}, digest {entry.digest}", options.as_json)
+    if lagging:
+        sys.exit(EXIT_LAGGING)
+
+
+async def _wait(
+    store: Store, environment: str, accepted: Accepted, options: ChangeOptions
+) -> list[str]:
+    """Wait until no member lags; return those that do when the time is up."""
+    until = time.monotonic() + options.wait_s
+    shown = ""
+    while True:
+        spread = await admin.read_spread(store, environment)
+        lagging = spread.lagging(accepted.entry.revision)
+        there = len(spread.members) - len(lagging)
+        line = f"in force on {there} of {len(spread.members)}"
+        if lagging:
+            line += f", waiting for {', '.join(lagging)}"
+        if line != shown:
+            click.echo(line, err=True)
+            shown = line
+        if not lagging or time.monotonic() >= until:
+            return lagging
+        await asyncio.sleep(_POLL_S)
+
+
+def _show_members(url: str, environment: str, as_json: bool) -> None:
+    with exit_codes(environment, as_json):
+        spread = with_store(url, lambda store: admin.read_spread(store, environment))
+    by_id = {report.member_id: report for report in spread.reports}
+    numbers = {id_: by_id[id_].revision if id_ in by_id else 0 for id_ in spread.members}
+    lines = [f"{id_}  revision {number}" for id_, number in sorted(numbers.items())]
+    tell(numbers, "\n".join(lines) or "no members", as_json)
--- a/src/sycamorebay/coordination/dispatch.py
+++ b/src/sycamorebay/coordination/dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from itertools import count
 from random import Random
 
@@ -44,6 +45,10 @@
     attempts: int = 0
 
 
+def _no_objection() -> str:
+    return ""
+
+
 class Dispatcher:
     """Decides for each request of one entry.
 
@@ -65,6 +70,7 @@
         self.invariants = invariants or Invariants()
         self.backends = BackendTable()
         self.document: Document | None = None
+        self.objection: Callable[[], str] = _no_objection
         self._by_request: dict[int, _Pending] = {}
         self._by_attempt: dict[int, _Attempt] = {}
         self._budget_by_service: dict[str, RetryBudget] = {}
@@ -81,6 +87,8 @@
 
     def on_request(self, now: float, request: Request) -> list[Action]:
         """Take a caller's request."""
+        if objection := self.objection():
+            return [self._refuse(request.id, "configuration", "", objection)]
         if self.document is None:
             return [self._refuse(request.id, "configuration", "", "no configuration is in force")]
         service = self.document.service_for(request.host)
@@ -158,7 +166,7 @@
     def may_send(self, attempt_id: int) -> bool:
         """Whether an attempt's place is allowed still; asked before its first byte."""
         attempt = self._by_attempt.get(attempt_id)
-        if attempt is None or self.document is None:
+        if attempt is None or self.document is None or self.objection():
             return False
         server = attempt.backend.server
         service = self.document.service_for(attempt.request.request.host)
--- a/src/sycamorebay/errors.py
+++ b/src/sycamorebay/errors.py
@@ -70,5 +70,13 @@
     """Someone else changed the configuration first."""
 
 
+class UnsettledError(SycamorebayError):
+    """Whether a change took effect is not known."""
+
+
+class NotTriedError(SycamorebayError):
+    """A document was never in force in the trial environment."""
+
+
 class PeerError(SycamorebayError):
     """A peer failed, could not be reached or is not trusted."""
--- a/src/sycamorebay/metrics.py
+++ b/src/sycamorebay/metrics.py
@@ -71,6 +71,12 @@
             ["direction"],
             registry=self.registry,
         )
+        self.peers_dropped = Counter(
+            "sycamorebay_peers_dropped",
+            "Dialers and links dropped, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
         self.platform_calls = Counter(
             "sycamorebay_platform_calls",
             "Calls to the platform's service, by kind.",
--- a/src/sycamorebay/protocol/peers.thrift
+++ b/src/sycamorebay/protocol/peers.thrift
@@ -19,6 +19,8 @@
   3: i64 revision
   4: binary digest
   5: list<BackendNews> news
+  6: i16 oldest_version
+  7: optional list<Member> members
 }
 
 struct FetchDocument {
@@ -28,6 +30,7 @@
 struct DocumentReply {
   1: i64 revision
   2: binary text
+  3: bool compressed
 }
 
 struct Inquire {
--- a/src/sycamorebay/settings.py
+++ b/src/sycamorebay/settings.py
@@ -43,6 +43,8 @@
         Length of this entry's lease in seconds.
     calls_per_second : float
         Most calls that this entry may start in a second.
+    poll_s : float
+        Seconds between looks at the store that don't rely on the watch.
     """
 
     url: str
@@ -50,6 +52,45 @@
     timeout_s: float = 2.0
     lease_s: int = 10
     calls_per_second: float = 5.0
+    poll_s: float = 5.0
+
+
+@attrs.frozen
+class PeerSettings(Listen):
+    """How this entry and its peers reach each other.
+
+    Attributes
+    ----------
+    seeds : tuple of str
+        ``IP:port`` of peers to ask when the platform's service names none.
+    fan_out : int
+        Peers that each round of heartbeats goes to.
+    """
+
+    seeds: tuple[str, ...] = ()
+    fan_out: int = 6
+
+
+@attrs.frozen
+class FreshnessSettings:
+    """When an entry stops to trust its own document.
+
+    Attributes
+    ----------
+    pause_s : float
+        Pause of the process, in seconds, after which it asks again before it serves.
+    settle_s : float
+        Longest wait, in seconds, for peers that don't answer after a start or a pause.
+    isolated_s : float
+        Seconds without a word from the store or any peer.
+    behind_s : float
+        Seconds that a newer revision may be known without being in force.
+    """
+
+    pause_s: float = 2.0
+    settle_s: float = 1.5
+    isolated_s: float = 15.0
+    behind_s: float = 10.0
 
 
 @attrs.frozen
@@ -84,11 +125,12 @@
     failure_domain: str
     callers: Listen
     operators: Listen
-    peers: Listen
+    peers: PeerSettings
     platform: PlatformSettings
     environment: str = "production"
     secret_file: str = ""
     heartbeat_s: float = 1.0
+    freshness: FreshnessSettings = attrs.field(factory=FreshnessSettings)
     stop: StopSettings = attrs.field(factory=StopSettings)
     log: LogSettings = attrs.field(factory=LogSettings)
 
--- a/src/sycamorebay/transport/daemon.py
+++ b/src/sycamorebay/transport/daemon.py
@@ -13,21 +13,25 @@
 from sycamorebay import log
 from sycamorebay.coordination.configuration import Configuration
 from sycamorebay.coordination.dispatch import Dispatcher
+from sycamorebay.coordination.freshness import Freshness
 from sycamorebay.coordination.membership import Member, Membership
 from sycamorebay.coordination.operations import Operations
 from sycamorebay.metrics import Metrics
 from sycamorebay.settings import Settings
 from sycamorebay.transport.background import Background, running
+from sycamorebay.transport.clock import boottime
 from sycamorebay.transport.following import StoreFollower
 from sycamorebay.transport.forward import Forwarder
 from sycamorebay.transport.front import caller_app, server
 from sycamorebay.transport.heartbeats import Heartbeats
 from sycamorebay.transport.in_force import RevisionInForce
 from sycamorebay.transport.operators import Status, operator_app
+from sycamorebay.transport.pauses import PauseWatch
 from sycamorebay.transport.peer_messages import PeerMessages
 from sycamorebay.transport.peers import PeerNetwork
 from sycamorebay.transport.platform import open_store
 from sycamorebay.transport.registration import Registration
+from sycamorebay.transport.secrets import SecretFile, SecretRefresh
 from sycamorebay.transport.upstream import open_upstream
 
 _OPERATORS_STOP_LIMIT_S = 1.0
@@ -48,11 +52,24 @@
         self._settings = settings
         self._metrics = Metrics()
         self._dispatcher = Dispatcher(random.Random())
-        configuration = Configuration(self._dispatcher.invariants)
-        self._in_force = RevisionInForce(configuration, self._dispatcher, self._metrics)
+        self._freshness = Freshness(boottime(), settings.freshness)
+        self._dispatcher.objection = lambda: self._freshness.objection(boottime())
+        self._in_force = RevisionInForce(
+            Configuration(self._dispatcher.invariants),
+            self._freshness,
+            self._dispatcher,
+            self._metrics,
+        )
         own = Member(settings.id, time.time_ns(), str(settings.peers), settings.failure_domain)
         self._membership = Membership(own)
         self._messages = PeerMessages()
+        self._secrets = SecretFile(settings)
+        self._network = PeerNetwork(settings.peers, self._secrets, self._messages, self._metrics)
+        self._heartbeats = Heartbeats(
+            settings, self._network, self._membership, self._in_force, self._metrics
+        )
+        self._messages.on("heartbeat", self._heartbeats.on_heartbeat)
+        self._messages.on("fetch_document", self._heartbeats.on_fetch)
         self._stopping = asyncio.Event()
 
     async def run(self) -> None:
@@ -61,17 +78,17 @@
         settings = self._settings
         async with contextlib.AsyncExitStack() as stack:
             upstream = await stack.enter_async_context(open_upstream())
-            store = await stack.enter_async_context(open_store(settings.platform))
-            network = PeerNetwork(settings.peers, settings.secrets(), self._messages, self._metrics)
-            await stack.enter_async_context(network.open())
-            heartbeats = Heartbeats(
-                settings, network, self._membership, self._in_force, self._metrics
+            store = await stack.enter_async_context(
+                open_store(settings.platform, self._on_platform_call)
             )
-            self._messages.on("heartbeat", heartbeats.on_heartbeat)
+            await stack.enter_async_context(self._network.open())
+            follower = StoreFollower(settings, store, self._in_force, self._membership)
             background: list[Background] = [
-                StoreFollower(settings, store, self._in_force, self._membership),
-                Registration(settings, store, self._membership.own),
-                heartbeats,
+                PauseWatch(self._freshness, (self._heartbeats.soon, follower.soon)),
+                follower,
+                Registration(settings, store, self._membership.own, self._in_force),
+                self._heartbeats,
+                SecretRefresh(self._secrets),
             ]
             await stack.enter_async_context(running(background))
             forwarder = Forwarder(self._dispatcher, Operations(), upstream, self._metrics)
@@ -88,7 +105,7 @@
         settings = self._settings
         callers = server(caller_app(forwarder), settings.callers, settings.stop.limit_s)
         operators = server(
-            operator_app(settings, self._metrics, self._status),
+            operator_app(self._secrets, self._metrics, self._status),
             settings.operators,
             _OPERATORS_STOP_LIMIT_S,
         )
@@ -103,17 +120,21 @@
             listener.should_exit = True
             await task
 
+    def _on_platform_call(self, kind: str) -> None:
+        self._metrics.platform_calls.labels(kind).inc()
+
     def _status(self) -> Status:
-        revision = self._in_force.revision
-        alive = self._membership.alive(time.monotonic(), self._settings.heartbeat_s)
+        configuration = self._in_force.configuration
+        objection = self._freshness.objection(boottime())
         for name, count in self._dispatcher.invariants.violations_by_name.items():
             self._metrics.violations.labels(name).set(count)
         return Status(
             id=self._settings.id,
-            ready=revision is not None and not self._stopping.is_set(),
-            revision=revision.number if revision else 0,
-            digest=revision.digest if revision else "",
-            peers=tuple(sorted(peer.id for peer in alive)),
+            ready=not objection and not self._stopping.is_set(),
+            objection=objection,
+            revision=configuration.number,
+            digest=configuration.digest,
+            peers=tuple(sorted(peer.id for peer in self._heartbeats.alive())),
         )
 
 
--- a/src/sycamorebay/transport/following.py
+++ b/src/sycamorebay/transport/following.py
@@ -3,30 +3,33 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import random
-import time
 
 from sycamorebay import log
 from sycamorebay.coordination.membership import Member, Membership
+from sycamorebay.coordination.pace import Backoff
 from sycamorebay.errors import PlatformError
 from sycamorebay.protocol.keys import document_key, environment_prefix, members_prefix
 from sycamorebay.settings import Settings
+from sycamorebay.transport.clock import boottime
 from sycamorebay.transport.in_force import RevisionInForce
-from sycamorebay.transport.platform import Store, Stored
-
-_RETRY_S = 0.5
+from sycamorebay.transport.platform import Listing, Store, Stored
 
 _log = log.part("platform")
 
 
 class StoreFollower:
-    """Reads an environment's keys, then watches them.
+    """Reads an environment's keys, watches them, and looks again now and then.
+
+    The look finds what a hung watch holds back; it costs keys and versions only. Versions of a
+    key only go up here, so that a read that shows the past changes nothing.
 
     Parameters
     ----------
     settings : Settings
-        Names the environment.
+        Name the environment, and how often to look.
     store : Store
         The platform's service.
     in_force : RevisionInForce
@@ -43,41 +46,116 @@
         membership: Membership,
     ) -> None:
         self._environment = settings.environment
+        self._prefix = environment_prefix(settings.environment)
+        self._poll_s = settings.platform.poll_s
         self._store = store
         self._in_force = in_force
         self._membership = membership
+        self._rng = random.Random()
+        self._version = 0
+        self._version_by_key: dict[str, int] = {}
         self._members_by_key: dict[str, Member] = {}
+        self._watching: asyncio.Timeout | None = None
+        self.soon = asyncio.Event()
 
     async def run(self) -> None:
         """Follow until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._keep_watching())
+            group.create_task(self._keep_looking())
+
+    async def _keep_watching(self) -> None:
+        backoff = Backoff(self._rng)
         while True:
             try:
-                await self._follow()
+                if self._version == 0:
+                    await self._read()
+                    backoff.on_success()
+                await self._watch(backoff)
+            except TimeoutError:
+                _log.warning("watch restarted", reason="it held back a change")
             except PlatformError as error:
                 _log.warning("platform failed", step=error.step, reason=str(error))
-            await asyncio.sleep(_RETRY_S * (1 + random.random()))
+            await asyncio.sleep(backoff.on_failure())
+
+    async def _watch(self, backoff: Backoff) -> None:
+        async with asyncio.timeout(None) as self._watching:
+            async for item in self._store.watch(self._prefix, self._version + 1):
+                backoff.on_success()
+                self._on_stored(item)
+                self._version = max(self._version, item.version)
+                self._on_members()
+
+    async def _keep_looking(self) -> None:
+        while True:
+            await self._until_next_look()
+            try:
+                await self._look()
+            except PlatformError as error:
+                _log.warning("platform failed", step=error.step, reason=str(error))
+
+    async def _until_next_look(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._poll_s * self._rng.uniform(0.8, 1.2)):
+                await self.soon.wait()
+        self.soon.clear()
+
+    async def _look(self) -> None:
+        asked_at = boottime()
+        listing = await self._store.read_versions(self._prefix)
+        if listing.version < self._version:
+            return
+        versions = {item.key: item.version for item in listing.items}
+        if versions != self._version_by_key:
+            await self._read()
+            self._restart_watch()
+            return
+        self._in_force.freshness.on_store(boottime(), asked_at)
+
+    def _restart_watch(self) -> None:
+        if self._watching is not None and not self._watching.expired():
+            with contextlib.suppress(RuntimeError):
+                self._watching.reschedule(asyncio.get_running_loop().time())
 
-    async def _follow(self) -> None:
-        prefix = environment_prefix(self._environment)
-        listing = await self._store.read_prefix(prefix)
-        self._members_by_key.clear()
+    async def _read(self) -> None:
+        asked_at = boottime()
+        listing = await self._store.read_prefix(self._prefix)
+        if listing.version < self._version:
+            _log.warning("a read showed the past", version=listing.version, known=self._version)
+            return
+        self._version = listing.version
+        self._on_listing(listing)
+        self._in_force.freshness.on_store(boottime(), asked_at)
+
+    def _on_listing(self, listing: Listing) -> None:
+        kept = {item.key for item in listing.items}
+        for key in self._version_by_key.keys() - kept:
+            self._forget(key)
         for item in listing.items:
             self._on_stored(item)
         self._on_members()
-        async for item in self._store.watch(prefix, listing.version + 1):
-            self._on_stored(item)
-            self._on_members()
 
     def _on_stored(self, item: Stored) -> None:
-        if item.key == document_key(self._environment) and item.value is not None:
-            self._in_force.on_value(item.value)
-        if not item.key.startswith(members_prefix(self._environment)):
+        if item.version <= self._version_by_key.get(item.key, 0):
             return
         if item.value is None:
-            self._members_by_key.pop(item.key, None)
-        else:
-            self._members_by_key[item.key] = Member(**json.loads(item.value))
+            self._forget(item.key)
+            return
+        self._version_by_key[item.key] = item.version
+        if item.key == document_key(self._environment):
+            self._in_force.on_value(item.value)
+        if item.key.startswith(members_prefix(self._environment)):
+            self._on_member(item.key, item.value)
+
+    def _on_member(self, key: str, value: bytes) -> None:
+        try:
+            self._members_by_key[key] = Member(**json.loads(value))
+        except (ValueError, TypeError) as error:
+            _log.error("registration rejected", key=key, reason=str(error))
+
+    def _forget(self, key: str) -> None:
+        self._version_by_key.pop(key, None)
+        self._members_by_key.pop(key, None)
 
     def _on_members(self) -> None:
-        members = list(self._members_by_key.values())
-        self._membership.on_registrations(time.monotonic(), members)
+        self._membership.on_registrations(boottime(), self._members_by_key.values())
--- a/src/sycamorebay/transport/in_force.py
+++ b/src/sycamorebay/transport/in_force.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
-import time
+import asyncio
 
 from sycamorebay import log
 from sycamorebay.coordination.configuration import Configuration, Revision
 from sycamorebay.coordination.dispatch import Dispatcher
+from sycamorebay.coordination.freshness import Freshness
 from sycamorebay.errors import DocumentError, PlatformError
 from sycamorebay.metrics import Metrics
 from sycamorebay.protocol.revisions import decode_record
+from sycamorebay.transport.clock import boottime
 
 _log = log.part("configuration")
 
@@ -21,6 +23,8 @@
     ----------
     configuration : Configuration
         Decides whether a revision is newer.
+    freshness : Freshness
+        Is told which revisions exist and which is in force.
     dispatcher : Dispatcher
         Gets the document.
     metrics : Metrics
@@ -28,35 +32,45 @@
     """
 
     def __init__(
-        self, configuration: Configuration, dispatcher: Dispatcher, metrics: Metrics
+        self,
+        configuration: Configuration,
+        freshness: Freshness,
+        dispatcher: Dispatcher,
+        metrics: Metrics,
     ) -> None:
-        self._configuration = configuration
+        self.configuration = configuration
+        self.freshness = freshness
+        self.changed = asyncio.Event()
         self._dispatcher = dispatcher
         self._metrics = metrics
-
-    @property
-    def revision(self) -> Revision | None:
-        """The revision in force, or None."""
-        return self._configuration.revision
+        self._rejected: set[int] = set()
 
     def on_value(self, value: bytes) -> None:
         """Take the value that the store holds."""
         try:
             revision = decode_record(value).revision
         except PlatformError as error:
-            _log.error("revision rejected", step=error.step, reason=str(error))
+            _log.error("stored value rejected", step=error.step, reason=str(error))
             return
         self.on_revision(revision)
 
     def on_revision(self, revision: Revision) -> None:
         """Take a revision; put it in force where it is newer."""
-        now = time.monotonic()
+        now = boottime()
+        self.freshness.on_known(now, revision.number)
+        if revision.number in self._rejected:
+            return
         try:
-            document = self._configuration.on_revision(now, revision)
+            document = self.configuration.on_revision(now, revision)
         except DocumentError as error:
-            _log.error("revision rejected", step=error.step, reason=str(error))
+            self._rejected.add(revision.number)
+            _log.error("revision rejected", revision=revision.number, reason=str(error))
+            return
+        if document is None:
             return
-        if document is not None:
-            self._dispatcher.on_document(now, document)
-            self._metrics.revision.set(revision.number)
-            _log.info("revision in force", revision=revision.number, digest=revision.digest)
+        self._dispatcher.on_document(now, document)
+        self.freshness.on_in_force(now, revision.number)
+        self._metrics.revision.set(revision.number)
+        self.changed.set()
+        digest = self.configuration.digest
+        _log.info("revision in force", revision=revision.number, digest=digest)
--- a/src/sycamorebay/transport/operators.py
+++ b/src/sycamorebay/transport/operators.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hmac
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import attrs
@@ -11,7 +11,6 @@
 import falcon.asgi
 
 from sycamorebay.metrics import Metrics
-from sycamorebay.settings import Settings
 
 SECRET_HEADER = "sycamorebay-secret"
 
@@ -26,6 +25,8 @@
         This entry.
     ready : bool
         Whether the platform's balancer should send callers here.
+    objection : str
+        Why nothing is served; empty where requests are served.
     revision : int
         Revision in force; 0 for none.
     digest : str
@@ -36,6 +37,7 @@
 
     id: str
     ready: bool
+    objection: str
     revision: int
     digest: str
     peers: tuple[str, ...]
@@ -44,8 +46,8 @@
 class _SecretCheck:
     """Middleware that closes all but liveness to strangers."""
 
-    def __init__(self, settings: Settings) -> None:
-        self._secrets = settings.secrets()
+    def __init__(self, secrets: Sequence[bytes]) -> None:
+        self._secrets = secrets
 
     async def process_request(self, request: falcon.asgi.Request, _response: Any) -> None:
         """Refuse a request without a shared secret."""
@@ -90,10 +92,10 @@
 
 
 def operator_app(
-    settings: Settings, metrics: Metrics, status: Callable[[], Status]
+    secrets: Sequence[bytes], metrics: Metrics, status: Callable[[], Status]
 ) -> falcon.asgi.App:
     """Return the falcon application that operators talk to."""
-    app = falcon.asgi.App(middleware=[_SecretCheck(settings)])
+    app = falcon.asgi.App(middleware=[_SecretCheck(secrets)])
     app.add_route("/live", _Live())
     app.add_route("/ready", _Ready(status))
     app.add_route("/status", _StatusPage(status))
--- a/src/sycamorebay/transport/peers.py
+++ b/src/sycamorebay/transport/peers.py
@@ -6,7 +6,7 @@
 import contextlib
 import hmac
 import os
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from itertools import count
 
 from sycamorebay import log
@@ -19,6 +19,9 @@
 from sycamorebay.settings import Listen
 
 HANDSHAKE_TIMEOUT_S = 2.0
+MAX_HANDSHAKES = 64
+MAX_LINKS = 512
+MAX_UNSENT_BYTES = 4_000_000
 
 _log = log.part("peers")
 
@@ -84,6 +87,10 @@
             raise PeerError(answer.failed.reason, step="call")
         return answer
 
+    def close(self) -> None:
+        """Close the connection; `run` ends."""
+        self._writer.close()
+
     async def run(self) -> None:
         """Read messages until the connection ends."""
         try:
@@ -117,6 +124,8 @@
     def _write(self, envelope: Envelope) -> None:
         if self._writer.is_closing():
             raise PeerError("the link is closed", step="write")
+        if self._writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            raise PeerError("the peer does not read", step="write")
         data = self._outgoing.frame(frames.encode(envelope))
         self._sent.inc(len(data))
         self._writer.write(data)
@@ -156,23 +165,25 @@
     ----------
     listen : Listen
         Where peers reach this entry.
-    secrets : list of bytes
-        Shared secrets, newest first.
+    secrets : sequence of bytes
+        Shared secrets, newest first; asked again for each new link.
     handler : callable
         Answers messages.
     metrics : Metrics
-        Counts bytes.
+        Counts bytes, and what was dropped.
     """
 
     def __init__(
-        self, listen: Listen, secrets: list[bytes], handler: Handler, metrics: Metrics
+        self, listen: Listen, secrets: Sequence[bytes], handler: Handler, metrics: Metrics
     ) -> None:
         self._listen = listen
         self._secrets = secrets
         self._handler = handler
         self._metrics = metrics
         self._links_by_address: dict[str, Link] = {}
+        self._dials_by_address: dict[str, asyncio.Task[Link]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._accepting = 0
 
     @contextlib.asynccontextmanager
     async def open(self) -> AsyncIterator[PeerNetwork]:
@@ -184,9 +195,10 @@
             yield self
         finally:
             server.close()
-            for task in list(self._tasks):
+            tasks = [*self._tasks, *self._dials_by_address.values()]
+            for task in tasks:
                 task.cancel()
-            await asyncio.gather(*self._tasks, return_exceptions=True)
+            await asyncio.gather(*tasks, return_exceptions=True)
 
     async def link(self, peer: Member) -> Link:
         """Return a link to a peer, dialled where there is none.
@@ -199,18 +211,38 @@
         link = self._links_by_address.get(peer.address)
         if link is not None:
             return link
+        dial = self._dials_by_address.get(peer.address)
+        if dial is None:
+            dial = asyncio.create_task(self._dial(peer.address))
+            self._dials_by_address[peer.address] = dial
+            dial.add_done_callback(lambda done: self._on_dialled(peer.address, done))
         try:
-            return await self._dial(peer.address)
+            return await asyncio.shield(dial)
         except (OSError, EOFError, TimeoutError) as error:
             reason = str(error) or type(error).__name__
             raise PeerError(reason, step="connect", peer=peer.id) from error
 
+    def drop(self, peer: Member) -> None:
+        """Close the link to a peer that doesn't answer; the next use dials again."""
+        link = self._links_by_address.pop(peer.address, None)
+        if link is not None:
+            link.close()
+
     async def _dial(self, address: str) -> Link:
+        refused = PeerError("no secret is set", step="authenticate")
+        for secret in self._secrets:
+            try:
+                return await self._dial_with(secret, address)
+            except (PeerError, asyncio.IncompleteReadError) as error:
+                refused = PeerError(f"no common secret: {error}", step="authenticate")
+        raise refused
+
+    async def _dial_with(self, secret: bytes, address: str) -> Link:
         host, _, port = address.rpartition(":")
         async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
-            reader, writer = await asyncio.open_connection(host, int(port))
+            reader, writer = await asyncio.open_connection(host.strip("[]"), int(port))
             try:
-                key = await _dial_handshake(reader, writer, self._secrets[0])
+                key = await _dial_handshake(reader, writer, secret)
             except BaseException:
                 writer.close()
                 raise
@@ -218,31 +250,50 @@
         link = Link(reader, writer, incoming, outgoing, self._handler, self._metrics)
         self._links_by_address[address] = link
         task = self._start(link)
-        task.add_done_callback(lambda _: self._links_by_address.pop(address, None))
+        task.add_done_callback(lambda _: self._forget(address, link))
         return link
 
+    def _on_dialled(self, address: str, dial: asyncio.Task[Link]) -> None:
+        self._dials_by_address.pop(address, None)
+        if not dial.cancelled():
+            dial.exception()
+
+    def _forget(self, address: str, link: Link) -> None:
+        if self._links_by_address.get(address) is link:
+            del self._links_by_address[address]
+
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self._accepting >= MAX_HANDSHAKES or len(self._tasks) >= MAX_LINKS:
+            self._drop_dialer(writer, "too many links", "crowded")
+            return
+        self._accepting += 1
         try:
             async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
-                key = await _accept_handshake(reader, writer, self._secrets)
+                key = await _accept_handshake(reader, writer, list(self._secrets))
         except (OSError, EOFError, TimeoutError, PeerError) as error:
-            _log.warning("dialer dropped", reason=str(error) or type(error).__name__)
-            writer.close()
+            self._drop_dialer(writer, str(error) or type(error).__name__, "stranger")
             return
+        finally:
+            self._accepting -= 1
         incoming, outgoing = Sealer(key, b"to-listener"), Sealer(key, b"to-dialer")
         self._start(Link(reader, writer, incoming, outgoing, self._handler, self._metrics))
 
+    def _drop_dialer(self, writer: asyncio.StreamWriter, reason: str, kind: str) -> None:
+        self._metrics.peers_dropped.labels(kind).inc()
+        _log.warning("dialer dropped", reason=reason)
+        writer.close()
+
     def _start(self, link: Link) -> asyncio.Task[None]:
-        task = asyncio.create_task(_run_quietly(link))
+        task = asyncio.create_task(self._run(link))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return task
 
-
-async def _run_quietly(link: Link) -> None:
-    try:
-        await link.run()
-    except (OSError, EOFError):
-        pass
-    except PeerError as error:
-        _log.warning("link dropped", step=error.step, reason=str(error))
+    async def _run(self, link: Link) -> None:
+        try:
+            await link.run()
+        except (OSError, EOFError):
+            pass
+        except PeerError as error:
+            self._metrics.peers_dropped.labels(error.step).inc()
+            _log.warning("link dropped", step=error.step, reason=str(error))
--- a/src/sycamorebay/transport/platform.py
+++ b/src/sycamorebay/transport/platform.py
@@ -5,17 +5,20 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
 from typing import Any, Protocol
 
 import aiohttp
 import attrs
 
+from sycamorebay.coordination.pace import Pace
 from sycamorebay.errors import PlatformError
 from sycamorebay.settings import PlatformSettings
+from sycamorebay.transport.clock import boottime
 
 
 @attrs.frozen
@@ -45,6 +48,14 @@
     version: int
 
 
+@attrs.frozen
+class Write:
+    """A key to write along with another, or to delete where `value` is None."""
+
+    key: str
+    value: bytes | None
+
+
 class Store(Protocol):
     """What this product needs of the platform's key-value service."""
 
@@ -56,8 +67,15 @@
         """Return all keys under a prefix."""
         ...
 
-    async def swap(self, key: str, value: bytes, version: int) -> bool:
-        """Write if the key is at `version` still, 0 for absent; whether it was."""
+    async def read_versions(self, prefix: str) -> Listing:
+        """Return all keys under a prefix, without their values."""
+        ...
+
+    async def swap(self, key: str, value: bytes, version: int, also: Sequence[Write] = ()) -> bool:
+        """Write if the key is at `version` still, 0 for absent; whether it was.
+
+        `also` is written in the same transaction.
+        """
         ...
 
     async def grant(self, ttl_s: int) -> int:
@@ -90,11 +108,20 @@
         Connections to the service.
     settings : PlatformSettings
         Where it is and how long a call may take.
+    on_call : callable, optional
+        Told the kind of each call.
     """
 
-    def __init__(self, session: aiohttp.ClientSession, settings: PlatformSettings) -> None:
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        settings: PlatformSettings,
+        on_call: Callable[[str], None] | None = None,
+    ) -> None:
         self._session = session
         self._settings = settings
+        self._on_call = on_call or _ignore
+        self._pace = Pace(settings.calls_per_second)
 
     async def read(self, key: str) -> Stored | None:
         """Return a key's value, or None."""
@@ -108,17 +135,25 @@
         items = tuple(_stored(kv) for kv in reply.get("kvs") or [])
         return Listing(items, int(reply["header"]["revision"]))
 
-    async def swap(self, key: str, value: bytes, version: int) -> bool:
-        """Write if the key is at `version` still, 0 for absent; whether it was."""
-        encoded = _encode(key.encode())
+    async def read_versions(self, prefix: str) -> Listing:
+        """Return all keys under a prefix, without their values."""
+        reply = await self._call("/v3/kv/range", {**_prefix_range(prefix), "keys_only": True})
+        items = tuple(_stored(kv) for kv in reply.get("kvs") or [])
+        return Listing(items, int(reply["header"]["revision"]))
+
+    async def swap(self, key: str, value: bytes, version: int, also: Sequence[Write] = ()) -> bool:
+        """Write if the key is at `version` still, 0 for absent; whether it was.
+
+        `also` is written in the same transaction.
+        """
         compare = {
-            "key": encoded,
+            "key": _encode(key.encode()),
             "target": "MOD",
             "result": "EQUAL",
             "mod_revision": str(version),
         }
-        put = {"request_put": {"key": encoded, "value": _encode(value)}}
-        reply = await self._call("/v3/kv/txn", {"compare": [compare], "success": [put]})
+        success = [_operation(write) for write in (Write(key, value), *also)]
+        reply = await self._call("/v3/kv/txn", {"compare": [compare], "success": success})
         return bool(reply.get("succeeded", False))
 
     async def grant(self, ttl_s: int) -> int:
@@ -145,6 +180,7 @@
         request = {"create_request": {**_prefix_range(prefix), "start_revision": str(version)}}
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._settings.timeout_s)
         url = self._settings.url + "/v3/watch"
+        await self._take_turn("/v3/watch")
         try:
             async with self._session.post(url, json=request, timeout=timeout) as response:
                 response.raise_for_status()
@@ -156,6 +192,7 @@
         raise PlatformError("the watch ended", step="watch", peer=self._settings.url)
 
     async def _call(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        await self._take_turn(path)
         timeout = aiohttp.ClientTimeout(total=self._settings.timeout_s)
         try:
             async with self._session.post(
@@ -166,16 +203,30 @@
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             raise self._error(path, error) from error
 
+    async def _take_turn(self, path: str) -> None:
+        wait_s = self._pace.take(boottime())
+        if wait_s > self._settings.timeout_s:
+            raise PlatformError("too many calls are waiting", step=path, peer=self._settings.url)
+        if wait_s > 0:
+            await asyncio.sleep(wait_s)
+        self._on_call(path.rpartition("/")[2])
+
     def _error(self, step: str, error: Exception) -> PlatformError:
         reason = str(error) or type(error).__name__
         return PlatformError(reason, step=step, peer=self._settings.url)
 
 
 @asynccontextmanager
-async def open_store(settings: PlatformSettings) -> AsyncIterator[EtcdStore]:
+async def open_store(
+    settings: PlatformSettings, on_call: Callable[[str], None] | None = None
+) -> AsyncIterator[EtcdStore]:
     """Open a `Store`, and close its connections at the end."""
     async with aiohttp.ClientSession(read_bufsize=2**21) as session:
-        yield EtcdStore(session, settings)
+        yield EtcdStore(session, settings, on_call)
+
+
+def _ignore(_kind: str) -> None:
+    return None
 
 
 async def _lines(content: aiohttp.StreamReader) -> AsyncIterator[bytes]:
@@ -208,6 +259,13 @@
     return Stored(key, base64.b64decode(kv.get("value", "")), int(kv["mod_revision"]))
 
 
+def _operation(write: Write) -> dict[str, Any]:
+    key = _encode(write.key.encode())
+    if write.value is None:
+        return {"request_delete_range": {"key": key}}
+    return {"request_put": {"key": key, "value": _encode(write.value)}}
+
+
 def _encode(value: bytes) -> str:
     return base64.b64encode(value).decode()
 
--- a/src/sycamorebay/transport/registration.py
+++ b/src/sycamorebay/transport/registration.py
@@ -1,25 +1,31 @@
-"""Keeps this entry's registration under a lease."""
+"""Keeps this entry's registration, and its report on the revision in force, under a lease."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import random
 
 import attrs
 
 from sycamorebay import log
+from sycamorebay.coordination.lease import Lease
 from sycamorebay.coordination.membership import Member
+from sycamorebay.coordination.pace import Backoff
 from sycamorebay.errors import PlatformError
 from sycamorebay.protocol.keys import members_prefix
+from sycamorebay.protocol.reports import Report, encode_report, report_key
 from sycamorebay.settings import Settings
+from sycamorebay.transport.clock import boottime
+from sycamorebay.transport.in_force import RevisionInForce
 from sycamorebay.transport.platform import Store
 
 _log = log.part("registration")
 
 
 class Registration:
-    """One leased key that tells who this entry is.
+    """Leased keys that tell who this entry is and which revision it has in force.
 
     Parameters
     ----------
@@ -29,26 +35,61 @@
         The platform's service.
     own : Member
         This entry.
+    in_force : RevisionInForce
+        Tells the revision.
     """
 
-    def __init__(self, settings: Settings, store: Store, own: Member) -> None:
-        self._lease_s = settings.platform.lease_s
+    def __init__(
+        self, settings: Settings, store: Store, own: Member, in_force: RevisionInForce
+    ) -> None:
         self._store = store
-        self._key = members_prefix(settings.environment) + own.id
-        self._value = json.dumps(attrs.asdict(own)).encode()
-        self._lease = 0
+        self._own = own
+        self._in_force = in_force
+        self._environment = settings.environment
+        self._rng = random.Random()
+        self._backoff = Backoff(self._rng)
+        self._reported = Report("", 0, 0, "")
+        self.lease = Lease(settings.platform.lease_s)
 
     async def run(self) -> None:
         """Renew until cancelled."""
         while True:
             try:
                 await self._renew()
+                await self._report()
+                self._backoff.on_success()
+                wait_s = self.lease.renew_in_s(boottime(), self._rng)
             except PlatformError as error:
                 _log.warning("registration failed", step=error.step, reason=str(error))
-            await asyncio.sleep(self._lease_s / 3 * (0.9 + 0.2 * random.random()))
+                wait_s = self._backoff.on_failure()
+            await self._wait(wait_s)
+
+    async def _wait(self, wait_s: float) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                await self._in_force.changed.wait()
 
     async def _renew(self) -> None:
-        if self._lease and await self._store.keep_alive(self._lease):
-            return
-        self._lease = await self._store.grant(self._lease_s)
-        await self._store.put(self._key, self._value, self._lease)
+        asked_at = boottime()
+        if self.lease.due(asked_at):
+            if self.lease.number and await self._store.keep_alive(self.lease.number):
+                self.lease.on_renewed(asked_at)
+                return
+            self.lease.on_lapsed()
+        if self.lease.number == 0:
+            number = await self._store.grant(self.lease.length_s)
+            key = members_prefix(self._environment) + self._own.id
+            await self._store.put(key, json.dumps(attrs.asdict(self._own)).encode(), number)
+            self.lease.on_granted(number, asked_at)
+            self._reported = Report("", 0, 0, "")
+
+    async def _report(self) -> None:
+        self._in_force.changed.clear()
+        configuration = self._in_force.configuration
+        report = Report(
+            self._own.id, self._own.incarnation, configuration.number, configuration.digest
+        )
+        if report != self._reported:
+            key = report_key(self._environment, self._own.id)
+            await self._store.put(key, encode_report(report), self.lease.number)
+            self._reported = report
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -37,6 +37,8 @@
         Calls that take effect but whose answer is lost.
     stale_s : float
         Reads see the store as it was so long ago.
+    hang_watches : bool
+        Watches stay open and tell nothing.
     """
 
     down: bool = False
@@ -44,6 +46,7 @@
     slow_s: float = 0.0
     lose_answers: int = 0
     stale_s: float = 0.0
+    hang_watches: bool = False
 
 
 @attrs.define
@@ -97,7 +100,7 @@
             found = [item for key, item in sorted(items.items()) if start <= key < end]
         else:
             found = [items[start]] if start in items else []
-        kvs = [_shown(item) for item in found]
+        kvs = [_shown(item, bool(body.get("keys_only"))) for item in found]
         return {"header": {"revision": str(revision)}, "kvs": kvs, "count": str(len(kvs))}
 
     def put(self, body: dict[str, Any]) -> dict[str, Any]:
@@ -122,9 +125,18 @@
         """Compare versions, then write."""
         succeeded = all(self._holds(compare) for compare in body.get("compare", []))
         branch = body.get("success" if succeeded else "failure", [])
-        responses = [{"response_put": self.put(op["request_put"])} for op in branch]
+        responses = [self._operate(operation) for operation in branch]
         return {"header": self.header(), "succeeded": succeeded, "responses": responses}
 
+    def _operate(self, operation: dict[str, Any]) -> dict[str, Any]:
+        if "request_put" in operation:
+            return {"response_put": self.put(operation["request_put"])}
+        key = base64.b64decode(operation["request_delete_range"]["key"])
+        deleted = key in self._items
+        if deleted:
+            self._delete(key)
+        return {"response_delete_range": {"deleted": str(int(deleted))}}
+
     def grant(self, body: dict[str, Any]) -> dict[str, Any]:
         """Grant a lease."""
         self._next_lease += 1
@@ -159,11 +171,14 @@
         lease = self._leases.pop(number, None)
         for key in sorted(lease.keys) if lease else []:
             if key in self._items and self._items[key].lease == number:
-                self._remember()
-                self._revision += 1
-                del self._items[key]
-                kv = {"key": _b64(key), "mod_revision": str(self._revision)}
-                self._publish({"type": "DELETE", "kv": kv})
+                self._delete(key)
+
+    def _delete(self, key: bytes) -> None:
+        self._remember()
+        self._revision += 1
+        del self._items[key]
+        kv = {"key": _b64(key), "mod_revision": str(self._revision)}
+        self._publish({"type": "DELETE", "kv": kv})
 
     def _holds(self, compare: dict[str, Any]) -> bool:
         item = self._items.get(base64.b64decode(compare["key"]))
@@ -193,10 +208,10 @@
     return base64.b64encode(value).decode()
 
 
-def _shown(item: _Item) -> dict[str, str]:
+def _shown(item: _Item, keys_only: bool = False) -> dict[str, str]:
     return {
         "key": _b64(item.key),
-        "value": _b64(item.value),
+        "value": "" if keys_only else _b64(item.value),
         "mod_revision": str(item.mod),
         "create_revision": str(item.create),
         "lease": str(item.lease),
@@ -268,6 +283,8 @@
             await _write(response, {"result": {"header": self.platform.header(), "created": True}})
             while (event := await queue.get()) is not None:
                 await self._while_hung()
+                if self.platform.faults.hang_watches:
+                    continue
                 if start <= base64.b64decode(event["kv"]["key"]) < end:
                     header = self.platform.header()
                     await _write(response, {"result": {"header": header, "events": [event]}})
--- a/tests/support.py
+++ b/tests/support.py
@@ -39,10 +39,17 @@
 
 def document(servers: int = 4) -> Document:
     """Return a checked document of one service."""
+    return load_document(document_text(servers))
+
+
+def document_text(servers: int = 4, note: str = "") -> bytes:
+    """Return a document's bytes; a note makes them differ."""
     data = raw_document(servers)
     for index, server in enumerate(data["services"][0]["backend_servers"]):
         server["address"] = f"127.0.0.1:{10000 + index}"
-    return load_document(json.dumps(data).encode())
+    if note:
+        data["services"][0]["hosts"].append(f"note-{note}.test")
+    return json.dumps(data).encode()
 
 
 def dispatcher(seed: int = 1, servers: int = 4) -> Dispatcher:
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,109 @@
+from __future__ import annotations
+
+from random import Random
+
+import testtools
+
+from sycamorebay.coordination.lease import Lease
+from sycamorebay.coordination.membership import FORGET_UNREGISTERED_S, Member, Membership
+from sycamorebay.coordination.pace import BACKOFF_LONGEST_S, Backoff, Pace
+
+SEED = 3
+
+
+def member(name: str, incarnation: int = 1, port: int = 7000) -> Member:
+    return Member(name, incarnation, f"127.0.0.1:{port}", "a")
+
+
+class MembershipTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.membership = Membership(member("own"))
+
+    def peer_ids(self) -> list[str]:
+        return sorted(peer.id for peer in self.membership.peers())
+
+    def test_registered_and_heard_members_are_peers_and_own_is_not(self):
+        self.membership.on_registrations(0.0, [member("own"), member("b")])
+        self.membership.on_heartbeat(1.0, member("c"))
+        self.membership.on_heartbeat(1.0, member("own", 9))
+        self.assertEqual(["b", "c"], self.peer_ids())
+
+    def test_a_replaced_member_is_known_by_its_newest_incarnation(self):
+        self.membership.on_registrations(0.0, [member("b", 1, 7001)])
+        self.membership.on_heartbeat(1.0, member("b", 2, 7002))
+        self.membership.on_heartbeat(2.0, member("b", 1, 7001))
+        self.assertEqual([member("b", 2, 7002)], self.membership.peers())
+
+    def test_a_member_that_was_only_heard_is_forgotten(self):
+        self.membership.on_heartbeat(1.0, member("b"))
+        self.membership.on_tick(1.0 + FORGET_UNREGISTERED_S)
+        self.assertEqual(["b"], self.peer_ids())
+        self.membership.on_tick(2.0 + FORGET_UNREGISTERED_S)
+        self.assertEqual([], self.peer_ids())
+
+    def test_a_hint_alone_lasts_shorter_and_is_not_alive(self):
+        self.membership.on_hints(100.0, [member("b")])
+        self.assertEqual(["b"], self.peer_ids())
+        self.assertEqual([], self.membership.alive(100.0, 1.0))
+        self.membership.on_tick(101.0 + FORGET_UNREGISTERED_S / 2)
+        self.assertEqual([], self.peer_ids())
+
+    def test_each_peer_has_its_turn_before_any_has_its_second(self):
+        self.membership.on_registrations(0.0, [member(f"m{n}") for n in range(13)])
+        rng = Random(SEED)
+        for _ in range(10):
+            turns = [self.membership.targets(rng, 5) for _ in range(3)]
+            seen = [peer.id for turn in turns for peer in turn]
+            self.assertEqual(13, len(set(seen)))
+            self.assertEqual(15, len(seen))
+            self.membership._round.clear()
+
+    def test_no_peer_twice_in_a_round(self):
+        self.membership.on_registrations(0.0, [member(f"m{n}") for n in range(7)])
+        rng = Random(SEED)
+        for _ in range(200):
+            turn = [peer.id for peer in self.membership.targets(rng, 3)]
+            self.assertEqual(3, len(set(turn)))
+
+
+class LeaseTest(testtools.TestCase):
+    def test_counts_from_the_question_and_is_renewed_early(self):
+        lease = Lease(9)
+        self.assertTrue(lease.due(0.0))
+        lease.on_granted(7, 100.0)
+        self.assertFalse(lease.due(101.0))
+        self.assertTrue(lease.due(103.0))
+        self.assertTrue(lease.holds(108.9))
+        self.assertFalse(lease.holds(109.0))
+        lease.on_lapsed()
+        self.assertEqual((0, False), (lease.number, lease.holds(100.0)))
+
+    def test_renewals_are_spread(self):
+        lease = Lease(9)
+        lease.on_granted(7, 100.0)
+        rng = Random(SEED)
+        waits = {lease.renew_in_s(100.0, rng) for _ in range(50)}
+        self.assertGreater(max(waits) - min(waits), 0.5)
+        self.assertLess(max(waits), 9 / 2)
+
+
+class PaceTest(testtools.TestCase):
+    def test_calls_stay_under_the_cap(self):
+        pace = Pace(5.0)
+        starts = []
+        now = 0.0
+        for _ in range(100):
+            wait_s = pace.take(now)
+            now += wait_s
+            starts.append(now)
+        for index in range(10, 100):
+            self.assertGreaterEqual(starts[index] - starts[index - 10], 0.99)
+
+    def test_back_off_grows_to_a_bound_and_starts_over(self):
+        backoff = Backoff(Random(SEED))
+        waits = [backoff.on_failure() for _ in range(200)]
+        self.assertLessEqual(max(waits), BACKOFF_LONGEST_S)
+        self.assertGreater(max(waits[10:]), BACKOFF_LONGEST_S * 0.9)
+        backoff.on_success()
+        self.assertLessEqual(backoff.on_failure(), 0.25)
