Own the first byte, the bounds of a head and every ending of a request

Requests to backend servers go over aiohttp's connector and parser without its session, so that placement and deadline are asked right before the first byte, what counts as not written is exact, and nothing is sent again behind the entry's back. Callers' heads are bounded and checked before a request starts; answers stream from a plain ASGI application, because falcon's response adds a content type and joins repeated headers.

--- a/src/sycamorebay/coordination/dispatch.py
+++ b/src/sycamorebay/coordination/dispatch.py
@@ -125,7 +125,7 @@
         peer = attempt.backend.server.id
         if not failure.written:
             refusal: Refusal = NotRun(failure.step, peer, failure.reason)
-            return [self._again(now, pending, refusal)]
+            return [self._again(now, pending, refusal, body_left=True)]
         refusal = Unknown(failure.step, peer, failure.reason)
         if pending.route.idempotent:
             return [self._again(now, pending, refusal)]
@@ -188,11 +188,13 @@
             and service.allows(state.server)
         ]
 
-    def _again(self, now: float, pending: _Pending, refusal: Refusal) -> Action:
+    def _again(
+        self, now: float, pending: _Pending, refusal: Refusal, *, body_left: bool = False
+    ) -> Action:
         may_retry = (
             pending.attempts < MAX_ATTEMPTS
             and now < pending.deadline
-            and pending.request.replayable
+            and (body_left or pending.request.replayable)
             and bool(self._candidates(pending))
             and self._budget_by_service[pending.service.name].take()
         )
--- a/src/sycamorebay/protocol/problem.py
+++ b/src/sycamorebay/protocol/problem.py
@@ -2,13 +2,26 @@
 
 from __future__ import annotations
 
+import http
 import json
 
 from sycamorebay.outcomes import Refusal
+from sycamorebay.protocol import headers as names
+from sycamorebay.protocol.headers import Headers
 
 MEDIA_TYPE = "application/problem+json"
 
 
+def problem_headers(refusal: Refusal, request_id: str) -> Headers:
+    """Return the headers of a refusal, without its length."""
+    return [
+        ("content-type", MEDIA_TYPE),
+        ("retry-after", str(refusal.retry_after_s)),
+        (names.OUTCOME, refusal.tag),
+        (names.REQUEST_ID, request_id),
+    ]
+
+
 def problem_body(refusal: Refusal, request_id: str) -> bytes:
     """Return the body of a refusal."""
     problem = {
@@ -22,3 +35,13 @@
         "request_id": request_id,
     }
     return json.dumps(problem).encode()
+
+
+def raw_refusal(refusal: Refusal) -> bytes:
+    """Return a refusal as it goes over a connection that ends with it."""
+    body = problem_body(refusal, "")
+    pairs = problem_headers(refusal, "")[:-1]
+    pairs += [("content-length", str(len(body))), ("connection", "close")]
+    lines = [f"HTTP/1.1 {refusal.status} {http.HTTPStatus(refusal.status).phrase}"]
+    lines += [f"{name}: {value}" for name, value in pairs]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
--- a/src/sycamorebay/settings.py
+++ b/src/sycamorebay/settings.py
@@ -76,6 +76,37 @@
     level: str = "info"
 
 
+@attrs.frozen
+class CallerLimits:
+    """Bounds of what callers may send, and how slowly.
+
+    Attributes
+    ----------
+    head_bytes : int
+        Most bytes of a request's headers.
+    headers : int
+        Most headers of a request.
+    target_bytes : int
+        Most bytes of a request's target.
+    head_s : float
+        Seconds that a request's head may take once its first byte has come.
+    body_s : float
+        Seconds that a short body may take whole, and a long one between two of its parts.
+    idle_s : float
+        Seconds that a connection may wait for its next request.
+    linger_s : float
+        Seconds that what is left of a body is read and dropped after an early answer.
+    """
+
+    head_bytes: int = 32_768
+    headers: int = 100
+    target_bytes: int = 8192
+    head_s: float = 10.0
+    body_s: float = 30.0
+    idle_s: float = 75.0
+    linger_s: float = 2.0
+
+
 @attrs.frozen
 class Settings:
     """All settings of an entry daemon; see ``sycamorebay schema``."""
@@ -90,6 +121,7 @@
     secret_file: str = ""
     heartbeat_s: float = 1.0
     stop: StopSettings = attrs.field(factory=StopSettings)
+    limits: CallerLimits = attrs.field(factory=CallerLimits)
     log: LogSettings = attrs.field(factory=LogSettings)
 
     def secrets(self) -> list[bytes]:
--- a/src/sycamorebay/transport/daemon.py
+++ b/src/sycamorebay/transport/daemon.py
@@ -23,7 +23,7 @@
 from sycamorebay.protocol.revisions import decode_record
 from sycamorebay.settings import Settings
 from sycamorebay.transport.forward import Forwarder
-from sycamorebay.transport.front import caller_app, server
+from sycamorebay.transport.front import caller_server, server
 from sycamorebay.transport.operators import Status, operator_app
 from sycamorebay.transport.peers import PeerNetwork
 from sycamorebay.transport.platform import Store, Stored, open_store
@@ -78,7 +78,7 @@
             await stack.enter_async_context(network.open())
             forwarder = Forwarder(self._dispatcher, Operations(), upstream, self._metrics)
             limit_s = settings.stop.limit_s
-            callers = server(caller_app(forwarder), settings.callers, limit_s)
+            callers = caller_server(forwarder, settings.callers, settings.limits, limit_s)
             operators = server(
                 operator_app(settings, self._metrics, self._status), settings.operators, 1.0
             )
@@ -95,6 +95,7 @@
             stopping = asyncio.create_task(self._stopping.wait())
             await asyncio.wait([stopping, *tasks], return_when=asyncio.FIRST_COMPLETED)
             _log.info("stopping")
+            callers.announce_stop()
             await asyncio.sleep(settings.stop.notice_s)
             callers.should_exit = True
             await tasks[0]
--- a/src/sycamorebay/transport/forward.py
+++ b/src/sycamorebay/transport/forward.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+import uuid
 from collections.abc import AsyncIterator, Callable
 from itertools import count
 from typing import Protocol
@@ -31,11 +32,25 @@
     Replay,
 )
 from sycamorebay.metrics import Metrics
-from sycamorebay.outcomes import NotRun, Refusal
+from sycamorebay.outcomes import NotRun, Refusal, Unknown
 from sycamorebay.protocol import headers as names
-from sycamorebay.protocol.headers import Headers, end_to_end, load_report
-from sycamorebay.protocol.problem import MEDIA_TYPE, problem_body
-from sycamorebay.transport.upstream import AttemptError, BackendAnswer, OutgoingRequest, Upstream
+from sycamorebay.protocol.headers import (
+    Headers,
+    answer_headers,
+    load_report,
+    request_headers,
+    request_id_of,
+)
+from sycamorebay.protocol.headers import header as _header
+from sycamorebay.protocol.problem import problem_body, problem_headers
+from sycamorebay.transport.upstream import (
+    AttemptError,
+    BackendAnswer,
+    CallerBodyError,
+    CutOffError,
+    OutgoingRequest,
+    Upstream,
+)
 
 MAX_REPLAYABLE_BYTES = 65_536
 MAX_KEPT_ANSWER_BYTES = 16_384
@@ -45,7 +60,7 @@
 
 
 class IncomingRequest(Protocol):
-    """A caller's request as its listener read it."""
+    """A caller's request as its listener read it; names of headers are in lower case."""
 
     method: str
     host: str
@@ -60,11 +75,11 @@
         ...
 
     async def read(self) -> bytes:
-        """Return the whole body."""
+        """Return the whole body; raises `CallerBodyError` where it ends early."""
         ...
 
     def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body."""
+        """Yield the body; raises `CallerBodyError` where it ends early."""
         ...
 
 
@@ -98,6 +113,7 @@
     body: bytes | AsyncIterator[bytes] | None
     mailbox: asyncio.Future[Action] | None = None
     backend_s: float = 0.0
+    sent: bool = False
 
 
 class ForwardedBody:
@@ -107,6 +123,8 @@
     ----------
     answer : BackendAnswer
         The answer.
+    deadline : float
+        When the answer must have reached the caller, in seconds on the entry's clock.
     log_id, peer : str
         The request and the backend server, for logs.
     on_end : callable
@@ -114,8 +132,14 @@
     """
 
     def __init__(
-        self, answer: BackendAnswer, log_id: str, peer: str, on_end: Callable[[], None]
+        self,
+        answer: BackendAnswer,
+        deadline: float,
+        log_id: str,
+        peer: str,
+        on_end: Callable[[], None],
     ) -> None:
+        self.deadline = deadline
         self._answer = answer
         self._log_id = log_id
         self._peer = peer
@@ -125,26 +149,43 @@
     async def __aiter__(self) -> AsyncIterator[bytes]:
         try:
             async for chunk in self._answer.chunks():
+                if self._answer.ended():
+                    self.close()
                 yield chunk
-        except Exception as error:
-            _log.warning(
-                "answer cut off",
-                request_id=self._log_id,
-                step="body",
-                peer=self._peer,
-                reason=str(error) or type(error).__name__,
-            )
+        except CutOffError as error:
+            self.on_cut_off(str(error))
             raise
         finally:
-            await self.close()
+            self.close()
+
+    def ended(self) -> bool:
+        """Whether the body was read whole."""
+        return self._answer.ended()
+
+    def whole(self) -> bytes | None:
+        """Return the whole body and free its slot, or None where not all of it has come."""
+        body = self._answer.whole()
+        if body is not None:
+            self.close()
+        return body
 
-    async def close(self) -> None:
+    def on_cut_off(self, reason: str) -> None:
+        """Take the early end of the body."""
+        _log.warning(
+            "answer cut off",
+            request_id=self._log_id,
+            step="body",
+            peer=self._peer,
+            reason=reason,
+        )
+
+    def close(self) -> None:
         """Free the slot and the connection; more than once does no harm."""
         if self._closed:
             return
         self._closed = True
+        self._answer.release()
         self._on_end()
-        await self._answer.release()
 
 
 class Forwarder:
@@ -178,6 +219,7 @@
         self._metrics = metrics
         self._clock = clock
         self._ids = count(1)
+        self._id_prefix = uuid.uuid4().hex[:12]
         self._by_request: dict[int, _Exchange] = {}
 
     @property
@@ -189,43 +231,53 @@
         """Return the answer of one request; cancelling it tells that the caller is gone."""
         arrived = self._clock()
         self._metrics.requests.inc()
-        exchange = await self._open(incoming, arrived)
+        exchange = self._open(incoming, arrived)
         key = _header(incoming.headers, names.IDEMPOTENCY_KEY)
         self._by_request[exchange.request.id] = exchange
         try:
+            if exchange.body is None and incoming.has_body():
+                exchange.body = await incoming.read()
             if key is None:
                 return await self._run(exchange)
             return await self._run_operation(exchange, key)
-        except asyncio.CancelledError:
-            self._carry_out(self._dispatcher.on_caller_gone(self._clock(), exchange.request.id))
+        except CallerBodyError as error:
+            self._give_up(exchange)
+            outcome = Unknown if exchange.sent else NotRun
+            return self._refused(exchange, outcome("read", "caller", str(error), 408))
+        except BaseException:
+            self._give_up(exchange)
             raise
         finally:
             del self._by_request[exchange.request.id]
 
+    def on_early_refusal(self, refusal: Refusal) -> None:
+        """Take a refusal of something that could not be read as a request."""
+        self._metrics.requests.inc()
+        self._count_refusal(refusal, "")
+
     def on_actions(self, actions: list[Action]) -> None:
         """Carry out actions that no request's own event returned, such as a timer's."""
         self._carry_out(actions)
 
-    async def _open(self, incoming: IncomingRequest, arrived: float) -> _Exchange:
-        body: bytes | AsyncIterator[bytes] | None = None
-        if incoming.has_body():
-            length = incoming.content_length
-            if length is not None and length <= MAX_REPLAYABLE_BYTES:
-                body = await incoming.read()
-            else:
-                body = incoming.chunks()
+    def _open(self, incoming: IncomingRequest, arrived: float) -> _Exchange:
+        length = incoming.content_length
+        streamed = incoming.has_body() and (length is None or length > MAX_REPLAYABLE_BYTES)
         request_id = next(self._ids)
         request = Request(
             id=request_id,
             host=incoming.host,
             method=incoming.method,
             path=incoming.path,
-            replayable=body is None or isinstance(body, bytes),
+            replayable=not streamed,
             deadline_s=_deadline_s(incoming.headers),
         )
-        log_id = _header(incoming.headers, names.REQUEST_ID) or f"{id(self):x}-{request_id}"
+        log_id = request_id_of(incoming.headers) or f"{self._id_prefix}-{request_id}"
+        body = incoming.chunks() if streamed else None
         return _Exchange(incoming, request, log_id, arrived, body)
 
+    def _give_up(self, exchange: _Exchange) -> None:
+        self._carry_out(self._dispatcher.on_caller_gone(self._clock(), exchange.request.id))
+
     async def _run_operation(self, exchange: _Exchange, key: str) -> OutgoingAnswer:
         fingerprint = _fingerprint(exchange)
         first_send = _header(exchange.incoming.headers, names.ATTEMPT) == "1"
@@ -273,11 +325,14 @@
         self._metrics.attempts.inc()
         started = self._clock()
         attempt_id = send.attempt_id
+
+        def may_send() -> bool:
+            allowed = self._dispatcher.may_send(attempt_id)
+            exchange.sent = exchange.sent or allowed
+            return allowed
+
         try:
-            answer = await self._upstream.send(
-                self._outgoing(exchange, send, started),
-                lambda: self._dispatcher.may_send(attempt_id),
-            )
+            answer = await self._upstream.send(self._outgoing(exchange, send), may_send)
         except AttemptError as error:
             exchange.backend_s += self._clock() - started
             return None, self._failed(exchange, send, error.failure)
@@ -303,56 +358,45 @@
         )
         return self._dispatcher.on_failure(self._clock(), send.attempt_id, failure)
 
-    def _outgoing(self, exchange: _Exchange, send: Send, now: float) -> OutgoingRequest:
+    def _outgoing(self, exchange: _Exchange, send: Send) -> OutgoingRequest:
         incoming = exchange.incoming
-        time_left_s = max(0.0, send.deadline - now)
-        headers = [
-            pair
-            for pair in end_to_end(incoming.headers)
-            if pair[0] not in (names.DEADLINE, names.ATTEMPT, "content-length", "expect")
-        ]
-        if isinstance(exchange.body, bytes) or incoming.content_length is not None:
-            length = incoming.content_length or 0
-            headers.append(("content-length", str(length)))
-        headers.append((names.DEADLINE, str(int(time_left_s * 1000))))
-        headers.append(("x-forwarded-for", incoming.caller))
-        headers.append(("via", "1.1 sycamorebay"))
         return OutgoingRequest(
             address=send.backend_server.address,
             method=incoming.method,
             target=incoming.target,
-            headers=headers,
+            headers=request_headers(incoming.headers, incoming.caller, exchange.log_id),
             body=exchange.body,
-            time_left_s=time_left_s,
+            length=incoming.content_length,
+            deadline=send.deadline,
         )
 
     def _deliver(self, exchange: _Exchange, send: Send, answer: BackendAnswer) -> OutgoingAnswer:
         def on_end() -> None:
             self._carry_out(self._dispatcher.on_end(self._clock(), send.attempt_id))
 
-        body = ForwardedBody(answer, exchange.log_id, send.backend_server.id, on_end)
-        return OutgoingAnswer(answer.status, end_to_end(answer.headers), body)
+        body = ForwardedBody(answer, send.deadline, exchange.log_id, send.backend_server.id, on_end)
+        headers = answer_headers(answer.headers, answer.status, exchange.log_id)
+        return OutgoingAnswer(answer.status, headers, body)
 
     def _observe(self, exchange: _Exchange, now: float) -> None:
         self._metrics.backend.observe(exchange.backend_s)
         self._metrics.added.observe(now - exchange.arrived - exchange.backend_s)
 
     def _refused(self, exchange: _Exchange, refusal: Refusal) -> OutgoingAnswer:
+        self._count_refusal(refusal, exchange.log_id)
+        headers = problem_headers(refusal, exchange.log_id)
+        return OutgoingAnswer(refusal.status, headers, problem_body(refusal, exchange.log_id))
+
+    def _count_refusal(self, refusal: Refusal, log_id: str) -> None:
         self._metrics.on_refusal(refusal)
         _log.info(
             "request refused",
-            request_id=exchange.log_id,
+            request_id=log_id,
             outcome=refusal.tag,
             step=refusal.step,
             peer=refusal.peer,
             reason=refusal.reason,
         )
-        headers = [
-            ("content-type", MEDIA_TYPE),
-            ("retry-after", str(refusal.retry_after_s)),
-            (names.OUTCOME, refusal.tag),
-        ]
-        return OutgoingAnswer(refusal.status, headers, problem_body(refusal, exchange.log_id))
 
     def _own(self, exchange: _Exchange, actions: list[Action]) -> Action:
         own = actions[0]
@@ -375,13 +419,6 @@
                 mailbox.set_result(action)
 
 
-def _header(headers: Headers, wanted: str) -> str | None:
-    for name, value in headers:
-        if name == wanted:
-            return value
-    return None
-
-
 def _deadline_s(headers: Headers) -> float | None:
     value = _header(headers, names.DEADLINE)
     if value is None or not value.isdecimal():
--- a/src/sycamorebay/transport/front.py
+++ b/src/sycamorebay/transport/front.py
@@ -1,43 +1,59 @@
-"""Callers' listener: falcon on uvicorn."""
+"""Callers' listener: an ASGI application on uvicorn."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Iterator
+import functools
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from typing import Any
 
-import falcon.asgi
 import uvicorn
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from sycamorebay.protocol.headers import Headers
-from sycamorebay.settings import Listen
-from sycamorebay.transport.forward import Forwarder
+from sycamorebay.settings import CallerLimits, Listen
+from sycamorebay.transport.caller_protocol import CONNECTION, CallerProtocol, Listener
+from sycamorebay.transport.forward import ForwardedBody, Forwarder, OutgoingAnswer
+from sycamorebay.transport.upstream import CallerBodyError, CutOffError
 
-_GONE = "sycamorebay.gone"
-_BODY = "sycamorebay.body"
-_BODILESS_STATUSES = (204, 304)
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
 
 
-class FalconRequest:
-    """An `IncomingRequest` over falcon."""
+class AsgiRequest:
+    """An `IncomingRequest` over ASGI.
 
-    def __init__(self, request: falcon.asgi.Request) -> None:
-        scope = request.scope
-        self._stream = request.stream
-        self.method: str = request.method
-        self.host = _host_name(request.get_header("host", default=""))
-        raw_path: bytes = scope.get("raw_path") or scope["path"].encode()
+    Parameters
+    ----------
+    scope, receive
+        The request as ASGI gives it.
+    body_s : float
+        Seconds that a body may take: whole where it is read at once, else between two parts.
+    """
+
+    def __init__(self, scope: dict[str, Any], receive: Receive, body_s: float) -> None:
+        self._receive = receive
+        self._body_s = body_s
         query: bytes = scope["query_string"]
+        raw_path: bytes = scope["raw_path"]
+        self.method: str = scope["method"]
         self.path: str = scope["path"]
         self.target = (raw_path + b"?" + query if query else raw_path).decode("latin-1")
-        self.headers: Headers = [
-            (name.decode("latin-1"), value.decode("latin-1")) for name, value in scope["headers"]
-        ]
-        self.caller: str = request.remote_addr
-        self.content_length = request.content_length
-        self._chunked = request.get_header("transfer-encoding") is not None
+        self.caller: str = scope["client"][0] if scope["client"] else ""
+        self.headers: Headers = []
+        self.host = ""
+        self.content_length: int | None = None
+        self._chunked = False
+        for name, value in scope["headers"]:
+            text = value.decode("latin-1")
+            self.headers.append((name.decode("latin-1"), text))
+            if name == b"host":
+                self.host = _host_name(text)
+            elif name == b"content-length":
+                self.content_length = int(text)
+            elif name == b"transfer-encoding":
+                self._chunked = True
 
     def has_body(self) -> bool:
         """Whether a body follows."""
@@ -45,61 +61,101 @@
 
     async def read(self) -> bytes:
         """Return the whole body."""
-        return await self._stream.read()
+        try:
+            async with asyncio.timeout(self._body_s):
+                return b"".join([chunk async for chunk in self._parts()])
+        except TimeoutError as error:
+            raise CallerBodyError("the caller's body took too long") from error
 
-    def chunks(self) -> AsyncIterator[bytes]:
+    async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body."""
-        return aiter(self._stream)
-
-
-class CallerProtocol(HttpToolsProtocol):
-    """Tells a request's task when its caller is gone."""
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel the request in flight."""
-        super().connection_lost(exc)
-        cycle = self.cycle
-        if cycle is not None and not cycle.response_complete:
-            task = cycle.scope.get(_GONE)
-            if isinstance(task, asyncio.Task):
-                task.cancel()
-
-
-class _ForwardSink:
-    def __init__(self, forwarder: Forwarder) -> None:
+        parts = self._parts()
+        while True:
+            try:
+                async with asyncio.timeout(self._body_s):
+                    chunk = await anext(parts, None)
+            except TimeoutError as error:
+                raise CallerBodyError("the caller's body stopped coming") from error
+            if chunk is None:
+                return
+            yield chunk
+
+    async def _parts(self) -> AsyncIterator[bytes]:
+        more = True
+        while more:
+            message = await self._receive()
+            if message["type"] != "http.request":
+                raise CallerBodyError("the caller left in the middle of its body")
+            more = message["more_body"]
+            if message["body"]:
+                yield message["body"]
+
+
+class CallerApp:
+    """The ASGI application that callers talk to.
+
+    Parameters
+    ----------
+    forwarder : Forwarder
+        Answers each request.
+    limits : CallerLimits
+        Time limits of bodies.
+    """
+
+    def __init__(self, forwarder: Forwarder, limits: CallerLimits) -> None:
         self._forwarder = forwarder
+        self._limits = limits
 
-    async def __call__(
-        self, req: falcon.asgi.Request, resp: falcon.asgi.Response | None, **_: Any
-    ) -> None:
-        assert resp is not None
-        req.scope[_GONE] = asyncio.current_task()
-        answer = await self._forwarder.forward(FalconRequest(req))
-        resp.status = answer.status
-        for name, value in answer.headers:
-            resp.append_header(name, value)
-        if isinstance(answer.body, bytes):
-            resp.data = answer.body
-            return
-        req.scope[_BODY] = answer.body
-        if req.method != "HEAD" and answer.status not in _BODILESS_STATUSES:
-            resp.stream = aiter(answer.body)
-
-
-def caller_app(forwarder: Forwarder) -> Any:
-    """Return the ASGI application that callers talk to."""
-    app = falcon.asgi.App()
-    app.add_sink(_ForwardSink(forwarder), prefix="/")
-
-    async def closing_app(scope: Any, receive: Any, send: Any) -> None:
+    async def __call__(self, scope: Any, receive: Receive, send: Send) -> None:
+        """Answer one request, or cut its connection off."""
+        connection: CallerProtocol = scope["extensions"][CONNECTION]
+        request = AsgiRequest(scope, receive, self._limits.body_s)
         try:
-            await app(scope, receive, send)
-        finally:
-            body = scope.get(_BODY)
-            if body is not None:
-                await body.close()
+            answer = await self._forwarder.forward(request)
+            await self._deliver(connection, answer, send)
+        except asyncio.CancelledError:
+            connection.abort()
 
-    return closing_app
+    async def _deliver(
+        self, connection: CallerProtocol, answer: OutgoingAnswer, send: Send
+    ) -> None:
+        body = answer.body
+        connection.prepare_answer()
+        if isinstance(body, bytes):
+            await _send_head(send, answer, len(body))
+            await send({"type": "http.response.body", "body": body})
+            return
+        with contextlib.closing(body):
+            whole = body.whole()
+            if whole is not None:
+                await _send_head(send, answer, None)
+                await send({"type": "http.response.body", "body": whole})
+                return
+            try:
+                async with asyncio.timeout(body.deadline - time.monotonic()):
+                    await _send_head(send, answer, None)
+                    await _send_body(send, body)
+            except TimeoutError:
+                body.on_cut_off("the deadline passed")
+                connection.abort()
+            except CutOffError:
+                connection.abort()
+
+
+async def _send_head(send: Send, answer: OutgoingAnswer, length: int | None) -> None:
+    headers = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in answer.headers]
+    if length is not None:
+        headers.append((b"content-length", str(length).encode()))
+    await send({"type": "http.response.start", "status": answer.status, "headers": headers})
+
+
+async def _send_body(send: Send, body: ForwardedBody) -> None:
+    async for chunk in body:
+        if body.ended():
+            await send({"type": "http.response.body", "body": chunk})
+            return
+        await send({"type": "http.response.body", "body": chunk, "more_body": True})
+    await send({"type": "http.response.body", "body": b""})
 
 
 def _host_name(host: str) -> str:
@@ -109,7 +165,24 @@
 
 
 class QuietServer(uvicorn.Server):
-    """A uvicorn server that leaves signals to the daemon."""
+    """A uvicorn server that leaves signals to the daemon.
+
+    Parameters
+    ----------
+    config : uvicorn.Config
+        Of the server.
+    listener : Listener, optional
+        Shared by the connections of callers.
+    """
+
+    def __init__(self, config: uvicorn.Config, listener: Listener | None = None) -> None:
+        super().__init__(config)
+        self._listener = listener
+
+    def announce_stop(self) -> None:
+        """End each connection after its next answer, so that callers move elsewhere in time."""
+        if self._listener is not None:
+            self._listener.stopping = True
 
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
@@ -117,13 +190,28 @@
         yield
 
 
+def caller_server(
+    forwarder: Forwarder, listen: Listen, limits: CallerLimits, stop_limit_s: float
+) -> QuietServer:
+    """Return the server that callers talk to; run it with ``serve()``."""
+    listener = Listener(limits, forwarder.on_early_refusal)
+    config = _config(CallerApp(forwarder, limits), listen, stop_limit_s)
+    config.http = functools.partial(CallerProtocol, listener=listener)  # type: ignore[assignment]
+    config.timeout_keep_alive = max(1, round(limits.idle_s))
+    return QuietServer(config, listener)
+
+
 def server(app: Any, listen: Listen, stop_limit_s: float) -> QuietServer:
-    """Return a server of an application; run it with ``serve()``."""
-    config = uvicorn.Config(
+    """Return the server of an ASGI application; run it with ``serve()``."""
+    return QuietServer(_config(app, listen, stop_limit_s))
+
+
+def _config(app: Any, listen: Listen, stop_limit_s: float) -> uvicorn.Config:
+    return uvicorn.Config(
         app,
         host=listen.address,
         port=listen.port,
-        http=CallerProtocol,
+        http="httptools",
         ws="none",
         lifespan="off",
         log_config=None,
@@ -131,7 +219,5 @@
         server_header=False,
         date_header=False,
         backlog=2048,
-        timeout_keep_alive=75,
         timeout_graceful_shutdown=max(1, round(stop_limit_s)),
     )
-    return QuietServer(config)
--- a/src/sycamorebay/transport/upstream.py
+++ b/src/sycamorebay/transport/upstream.py
@@ -1,23 +1,43 @@
-"""Requests to backend servers over aiohttp."""
+"""Requests to backend servers over aiohttp's connections.
+
+aiohttp's connector, response parser and streams are used without its session: a session decides by
+itself when the first byte is written and sends some requests again after a lost connection, and
+both belong to the entry.
+"""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+import contextlib
+import re
+import select
+import time
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from typing import Protocol
 
 import aiohttp
 import attrs
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.client_reqrep import ClientRequest
+from aiohttp.connector import Connection
+from aiohttp.http import HttpProcessingError, RawResponseMessage, StreamWriter
+from aiohttp.streams import StreamReader
 from yarl import URL
 
 from sycamorebay.coordination.messages import Failure
-from sycamorebay.protocol.headers import Headers
+from sycamorebay.protocol import headers as names
+from sycamorebay.protocol.headers import BODILESS_STATUSES, Headers
 
 CONNECT_TIMEOUT_S = 1.0
 KEEPALIVE_S = 15.0
-_SKIPPED = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
-_NOT_WRITTEN = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+READ_BUFFER_BYTES = 65_536
+MAX_HEADER_LINE_BYTES = 32_768
+_MAX_STALE_CONNECTIONS = 3
+_MAX_KNOWN_ADDRESSES = 4096
+_CONNECT_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+_FORBIDDEN_IN_VALUE = re.compile("[\x00-\x08\x0a-\x1f\x7f]")
+_LOST = (aiohttp.ClientError, HttpProcessingError, OSError)
 
 
 @attrs.frozen
@@ -31,11 +51,13 @@
     method, target : str
         HTTP method, and path with query as the caller wrote them.
     headers : list of (str, str)
-        End-to-end headers.
+        End-to-end headers, without length and deadline.
     body : bytes or async iterator of bytes or None
         The body; bytes where it can be sent again.
-    time_left_s : float
-        Seconds until the deadline.
+    length : int or None
+        Bytes of the body; None for a body of unknown length, or for no body.
+    deadline : float
+        When the time is up, in seconds on the entry's clock.
     """
 
     address: str
@@ -43,7 +65,8 @@
     target: str
     headers: Headers
     body: bytes | AsyncIterator[bytes] | None
-    time_left_s: float
+    length: int | None
+    deadline: float
 
 
 class AttemptError(Exception):
@@ -54,6 +77,14 @@
         self.failure = failure
 
 
+class CallerBodyError(Exception):
+    """The caller's body stopped coming or was malformed."""
+
+
+class CutOffError(Exception):
+    """An answer ended before its end."""
+
+
 class BackendAnswer(Protocol):
     """An answer whose body has yet to be read."""
 
@@ -64,12 +95,20 @@
         """Yield the body; raises where it is cut off."""
         ...
 
+    def ended(self) -> bool:
+        """Whether the body was read whole."""
+        ...
+
+    def whole(self) -> bytes | None:
+        """Return the whole body where all of it has come, else None."""
+        ...
+
     def abort(self) -> None:
         """Drop the answer and its connection."""
         ...
 
-    async def release(self) -> None:
-        """Give the connection back where the body was read whole, else close it."""
+    def release(self) -> None:
+        """Give the connection back where both bodies went whole, else close it."""
         ...
 
 
@@ -85,81 +124,265 @@
         ------
         AttemptError
             Where no answer came.
+        CallerBodyError
+            Where the caller's body ended early.
         """
         ...
 
 
 class AiohttpAnswer:
-    """A `BackendAnswer` over aiohttp."""
-
-    def __init__(self, response: aiohttp.ClientResponse) -> None:
-        self._response = response
-        self.status = response.status
+    """A `BackendAnswer` over one of aiohttp's connections."""
+
+    def __init__(
+        self,
+        connection: Connection,
+        message: RawResponseMessage,
+        payload: StreamReader,
+        body_writer: asyncio.Task[None] | None,
+    ) -> None:
+        self._connection = connection
+        self._payload = payload
+        self._body_writer = body_writer
+        self.status: int = message.code
         self.headers: Headers = [
             (name.decode("latin-1").lower(), value.decode("latin-1"))
-            for name, value in response.raw_headers
+            for name, value in message.raw_headers
         ]
 
     async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body; raises where it is cut off."""
-        async for chunk in self._response.content.iter_any():
-            yield chunk
+        """Yield the body; raises where it is cut off.
+
+        Raises
+        ------
+        CutOffError
+            Where the connection ends before the body.
+        """
+        while not self._payload.at_eof():
+            try:
+                chunk = await self._payload.readany()
+            except _LOST as error:
+                raise CutOffError(_reason(error)) from error
+            if chunk:
+                yield chunk
+
+    def ended(self) -> bool:
+        """Whether the body was read whole."""
+        return self._payload.at_eof()
+
+    def whole(self) -> bytes | None:
+        """Return the whole body where all of it has come, else None."""
+        payload = self._payload
+        if not payload.is_eof() or payload.exception() is not None:
+            return None
+        return payload.read_nowait()
 
     def abort(self) -> None:
         """Drop the answer and its connection."""
-        self._response.close()
-
-    async def release(self) -> None:
-        """Give the connection back where the body was read whole, else close it."""
-        if self._response.content.at_eof():
-            self._response.release()
+        if self._body_writer is not None:
+            self._body_writer.cancel()
+        _abort(self._connection)
+
+    def release(self) -> None:
+        """Give the connection back where both bodies went whole, else close it."""
+        sent = self._body_writer is None or self._body_writer.done()
+        if sent and self._payload.is_eof() and self._payload.exception() is None:
+            self._connection.release()
         else:
-            self._response.close()
+            self.abort()
 
 
 class AiohttpUpstream:
-    """An `Upstream` over one aiohttp session."""
+    """An `Upstream` over aiohttp's connector.
+
+    Parameters
+    ----------
+    connector : aiohttp.BaseConnector
+        Opens and keeps connections.
+    clock : callable
+        The entry's clock, in seconds.
+    """
 
-    def __init__(self, session: aiohttp.ClientSession) -> None:
-        self._session = session
+    def __init__(
+        self, connector: aiohttp.BaseConnector, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self._connector = connector
+        self._clock = clock
+        self._destination_by_address: dict[str, ClientRequest] = {}
 
     async def send(self, request: OutgoingRequest, may_send: Callable[[], bool]) -> AiohttpAnswer:
         """Send a request and return its answer's head."""
+        connection: Connection | None = None
+        try:
+            async with asyncio.timeout(request.deadline - self._clock()):
+                connection = await self._connect(request.address)
+                with _aborted_on_error(connection):
+                    self._check_last(request, may_send)
+                    body_writer = self._write(connection, request)
+                    return await self._answer(connection, request, body_writer)
+        except TimeoutError as error:
+            step, written = ("answer", True) if connection is not None else ("connect", False)
+            raise AttemptError(Failure(step, written, "the deadline passed")) from error
+
+    async def _connect(self, address: str) -> Connection:
+        destination = self._destination(address)
+        for _ in range(_MAX_STALE_CONNECTIONS):
+            try:
+                connection = await self._connector.connect(destination, [], _CONNECT_TIMEOUT)
+            except TimeoutError as error:
+                raise AttemptError(Failure("connect", False, "connecting timed out")) from error
+            except (aiohttp.ClientError, OSError) as error:
+                raise AttemptError(Failure("connect", False, _reason(error))) from error
+            if _is_quiet(connection):
+                return connection
+            _abort(connection)
+        reason = "the backend server closes its connections"
+        raise AttemptError(Failure("connect", False, reason))
+
+    def _destination(self, address: str) -> ClientRequest:
+        destination = self._destination_by_address.get(address)
+        if destination is None:
+            if len(self._destination_by_address) >= _MAX_KNOWN_ADDRESSES:
+                self._destination_by_address.clear()
+            destination = ClientRequest("GET", URL(f"http://{address}/"))
+            self._destination_by_address[address] = destination
+        return destination
+
+    def _check_last(self, request: OutgoingRequest, may_send: Callable[[], bool]) -> None:
+        if request.deadline <= self._clock():
+            raise AttemptError(Failure("deadline", False, "no time is left"))
         if not may_send():
             raise AttemptError(Failure("place", False, "the place is no longer allowed"))
-        url = URL(f"http://{request.address}{request.target}", encoded=True)
-        timeout = aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S)
+
+    def _write(self, connection: Connection, request: OutgoingRequest) -> asyncio.Task[None] | None:
+        """Write the head, and the body or its first part, without giving up control."""
+        protocol = connection.protocol
+        assert protocol is not None
+        assert protocol.transport is not None
+        protocol.set_response_params(
+            skip_payload=request.method == "HEAD",
+            read_until_eof=True,
+            auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
+            max_line_size=MAX_HEADER_LINE_BYTES,
+            max_field_size=MAX_HEADER_LINE_BYTES,
+        )
         try:
-            async with asyncio.timeout(request.time_left_s):
-                response = await self._session.request(
-                    request.method,
-                    url,
-                    headers=request.headers,
-                    data=request.body,
-                    allow_redirects=False,
-                    timeout=timeout,
-                )
-        except _NOT_WRITTEN as error:
-            raise AttemptError(Failure("connect", False, str(error))) from error
-        except TimeoutError as error:
-            raise AttemptError(Failure("answer", True, "the deadline passed")) from error
-        except (aiohttp.ClientError, OSError, ValueError) as error:
-            reason = str(error) or type(error).__name__
-            raise AttemptError(Failure("answer", True, reason)) from error
-        return AiohttpAnswer(response)
+            head = _head(request, request.deadline - self._clock())
+        except ValueError as error:
+            raise AttemptError(Failure("write", False, str(error))) from error
+        if request.body is None:
+            protocol.transport.write(head)
+            return None
+        if isinstance(request.body, bytes):
+            protocol.transport.write(head + request.body)
+            return None
+        protocol.transport.write(head)
+        return asyncio.create_task(_write_body(protocol, request.body, request.length is None))
+
+    async def _answer(
+        self,
+        connection: Connection,
+        request: OutgoingRequest,
+        body_writer: asyncio.Task[None] | None,
+    ) -> AiohttpAnswer:
+        protocol = connection.protocol
+        assert protocol is not None
+        try:
+            message, payload = await protocol.read()
+            while message.code < 200 and message.code != 101:
+                message, payload = await protocol.read()
+            fault = _answer_fault(message, request.method)
+            if fault is not None:
+                raise AttemptError(Failure("answer", True, fault))
+            return AiohttpAnswer(connection, message, payload, body_writer)
+        except BaseException as error:
+            if body_writer is not None:
+                body_writer.cancel()
+            if isinstance(error, _LOST):
+                raise AttemptError(Failure("answer", True, _reason(error))) from error
+            raise
 
 
 @asynccontextmanager
 async def open_upstream() -> AsyncIterator[AiohttpUpstream]:
     """Open an `Upstream`, and close its connections at the end."""
     connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S, use_dns_cache=False)
-    async with aiohttp.ClientSession(
-        connector=connector,
-        auto_decompress=False,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        skip_auto_headers=_SKIPPED,
-        timeout=aiohttp.ClientTimeout(total=None),
-    ) as session:
-        # aiohttp resends some methods by itself after a lost connection; retries are ours.
-        session._retry_connection = False
-        yield AiohttpUpstream(session)
+    async with connector:
+        yield AiohttpUpstream(connector)
+
+
+async def _write_body(protocol: ResponseHandler, body: AsyncIterator[bytes], chunked: bool) -> None:
+    writer = StreamWriter(protocol, asyncio.get_running_loop())
+    if chunked:
+        writer.enable_chunking()
+    try:
+        # A backend server that stops reading says the rest by its answer, or the lack of one.
+        with contextlib.suppress(*_LOST):
+            async for chunk in body:
+                await writer.write(chunk)
+            await writer.write_eof()
+    except CallerBodyError as error:
+        protocol.set_exception(error)
+        protocol.abort()
+
+
+def _head(request: OutgoingRequest, time_left_s: float) -> bytes:
+    lines = [f"{request.method} {request.target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in request.headers]
+    lines.append(f"{names.DEADLINE}: {int(time_left_s * 1000)}")
+    if request.length is not None:
+        lines.append(f"content-length: {request.length}")
+    elif request.body is not None:
+        lines.append("transfer-encoding: chunked")
+    text = "\r\n".join(lines)
+    ends = len(lines) - 1
+    if text.count("\r") != ends or text.count("\n") != ends or "\0" in text:
+        raise ValueError("a header holds a control character")
+    return (text + "\r\n\r\n").encode("latin-1")
+
+
+def _answer_fault(message: RawResponseMessage, method: str) -> str | None:
+    """Return why an answer can't be trusted to be whole, or None."""
+    if not 200 <= message.code <= 599:
+        return f"the answer's status {message.code} is not usable"
+    lengths = [v for name, v in message.raw_headers if name.lower() == b"content-length"]
+    if message.chunked and lengths:
+        return "the answer has two lengths"
+    for _, value in message.raw_headers:
+        if _FORBIDDEN_IN_VALUE.search(value.decode("latin-1")):
+            return "a header of the answer holds a control character"
+    bodiless = method == "HEAD" or message.code in BODILESS_STATUSES
+    if not (bodiless or message.chunked or lengths):
+        return "the answer's end can't be told from a lost connection"
+    return None
+
+
+def _is_quiet(connection: Connection) -> bool:
+    """Whether a connection is open and the backend server sent nothing on it unasked."""
+    protocol = connection.protocol
+    if protocol is None or protocol.should_close or not protocol.is_connected():
+        return False
+    assert protocol.transport is not None
+    poll = select.poll()
+    poll.register(protocol.transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return not poll.poll(0)
+
+
+@contextmanager
+def _aborted_on_error(connection: Connection) -> Iterator[None]:
+    try:
+        yield
+    except BaseException:
+        _abort(connection)
+        raise
+
+
+def _abort(connection: Connection) -> None:
+    protocol = connection.protocol
+    if protocol is not None:
+        protocol.abort()
+    connection.close()
+
+
+def _reason(error: BaseException) -> str:
+    return str(error) or type(error).__name__
