--- a/src/sycamorebay/transport/caller_protocol.py
+++ b/src/sycamorebay/transport/caller_protocol.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import Callable
 from typing import Any
 
@@ -25,6 +27,7 @@
 
 CONNECTION = "sycamorebay.connection"
 MAX_PIPELINED = 16
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 @attrs.define
@@ -94,10 +97,13 @@
             self._cancel_running()
 
     def abort(self) -> None:
-        """Cut the connection off, so that what was sent can't be taken for a whole answer."""
+        """Reset the connection, so that what was sent can't be taken for a whole answer."""
         if self._running is not None:
             self._running.disconnected = True
         self._deaf = True
+        if not self.transport.is_closing():
+            socket_of = self.transport.get_extra_info("socket")
+            socket_of.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         self.transport.abort()
 
     def prepare_answer(self) -> None:
@@ -196,7 +202,7 @@
         if self._refuse_after is not None:
             self._answer(self._refuse_after, NotRun)
         elif done is not None and done is self.cycle and done.more_body:
-            self._arm(self._listener.limits.linger_s, self.abort)
+            self._arm(self._listener.limits.linger_s, self.transport.abort)
 
     def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
         task = self.loop.create_task(cycle.run_asgi(app))
@@ -239,7 +245,7 @@
         running.message_event.set()
         self._cancel_running()
         if started:
-            self.transport.abort()
+            self.abort()
         else:
             self._answer(fault, Unknown)
 
@@ -250,7 +256,7 @@
         # Closing at once with bytes unread would reset the connection and lose the refusal.
         self.transport.write_eof()
         self.flow.resume_reading()
-        self._arm(self._listener.limits.linger_s, self.abort)
+        self._arm(self._listener.limits.linger_s, self.transport.abort)
 
     def _cancel_running(self) -> None:
         if self._task is not None:
--- a/src/sycamorebay/transport/upstream.py
+++ b/src/sycamorebay/transport/upstream.py
@@ -157,13 +157,15 @@
         CutOffError
             Where the connection ends before the body.
         """
-        while not self._payload.at_eof():
-            try:
-                chunk = await self._payload.readany()
-            except _LOST as error:
-                raise CutOffError(_reason(error)) from error
-            if chunk:
-                yield chunk
+        payload = self._payload
+        with _told_of_loss(self._connection, payload):
+            while not payload.at_eof():
+                try:
+                    chunk = await payload.readany()
+                except _LOST as error:
+                    raise CutOffError(_reason(error)) from error
+                if chunk:
+                    yield chunk
 
     def ended(self) -> bool:
         """Whether the body was read whole."""
@@ -384,5 +386,28 @@
     connection.close()
 
 
+@contextmanager
+def _told_of_loss(connection: Connection, payload: StreamReader) -> Iterator[None]:
+    """Fail a body whose connection is lost; aiohttp leaves it waiting after a malformed chunk."""
+    protocol = connection.protocol
+    closed = protocol.closed if protocol is not None else None
+
+    def on_closed(_: object = None) -> None:
+        if not payload.is_eof() and payload.exception() is None:
+            payload.set_exception(aiohttp.ClientPayloadError("the answer is malformed"))
+
+    if closed is None:
+        on_closed()
+        yield
+        return
+    closed.add_done_callback(on_closed)
+    try:
+        yield
+    finally:
+        closed.remove_done_callback(on_closed)
+
+
 def _reason(error: BaseException) -> str:
+    if isinstance(error, HttpProcessingError):
+        return "the answer is malformed"
     return str(error) or type(error).__name__
--- /dev/null
+++ b/tests/one_entry.py
@@ -0,0 +1,214 @@
+"""One entry in the test's own process, in front of backend servers that follow a script."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import functools
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
+from random import Random
+from typing import Any
+
+import attrs
+import uvloop
+
+from bench.fleet import service
+from sycamorebay import log
+from sycamorebay.coordination.dispatch import Dispatcher
+from sycamorebay.coordination.invariants import Invariants
+from sycamorebay.coordination.operations import Operations
+from sycamorebay.metrics import Metrics
+from sycamorebay.settings import CallerLimits, Listen, LogSettings
+from sycamorebay.state.document import Document, load_document
+from sycamorebay.transport.forward import Forwarder
+from sycamorebay.transport.front import caller_server
+from sycamorebay.transport.upstream import Upstream, open_upstream
+
+ROUTES = [
+    {"methods": ["GET", "HEAD"], "path": "/prices", "idempotent": True, "deadline_ms": 2000},
+    {"methods": ["GET"], "path": "/late", "deadline_ms": 300},
+    {"methods": ["POST", "PUT"], "path": "/bids", "deadline_ms": 2000},
+    {"methods": ["GET"], "path": "/bids", "deadline_ms": 2000},
+]
+log.configure(LogSettings(level="error"))
+
+OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+
+
+def on_uvloop(test: Callable[..., Coroutine[Any, Any, None]]) -> Callable[..., None]:
+    """Run a test that is a coroutine, within half a minute, on the daemon's event loop."""
+
+    @functools.wraps(test)
+    def run(*args: Any) -> None:
+        uvloop.run(asyncio.wait_for(test(*args), 30))
+
+    return run
+
+
+async def eventually(holds: Callable[[], bool], limit_s: float = 5.0) -> bool:
+    """Whether something comes to hold within a limit."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(limit_s):
+            while not holds():  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+    return holds()
+
+
+@attrs.define
+class Exchange:
+    """One request as a backend server got it."""
+
+    head: bytes
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    @property
+    def target(self) -> str:
+        return self.head.split(b" ")[1].decode()
+
+    @property
+    def headers(self) -> list[tuple[str, str]]:
+        lines = self.head.decode("latin-1").split("\r\n")[1:-2]
+        return [tuple(line.split(": ", 1)) for line in lines]  # type: ignore[misc]
+
+    def header(self, wanted: str) -> str | None:
+        return dict(self.headers).get(wanted)
+
+    async def body(self) -> bytes:
+        length = self.header("content-length")
+        if length is not None:
+            return await self.reader.readexactly(int(length))
+        if self.header("transfer-encoding") is None:
+            return b""
+        body = b""
+        while size := int(await self.reader.readuntil(), 16):
+            body += await self.reader.readexactly(size)
+            await self.reader.readexactly(2)
+        await self.reader.readexactly(2)
+        return body
+
+    def cut(self) -> None:
+        self.writer.transport.abort()
+
+
+Script = Callable[[Exchange], Awaitable[None]]
+
+
+async def answer_ok(exchange: Exchange) -> None:
+    """Read the whole request and answer it."""
+    await exchange.body()
+    exchange.writer.write(OK)
+
+
+def answer(*parts: bytes) -> Script:
+    """Return a script that reads the whole request and answers these bytes."""
+
+    async def script(exchange: Exchange) -> None:
+        await exchange.body()
+        for part in parts:
+            exchange.writer.write(part)
+            await exchange.writer.drain()
+
+    return script
+
+
+class ScriptedBackend:
+    """A backend server that runs a script for each request."""
+
+    def __init__(self, script: Script = answer_ok) -> None:
+        self.script = script
+        self.exchanges: list[Exchange] = []
+        self.connections = 0
+        self.open = 0
+        self.address = ""
+        self._server: asyncio.Server
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=2**20)
+        self.address = "127.0.0.1:" + str(self._server.sockets[0].getsockname()[1])
+
+    def stop(self) -> None:
+        self._server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        self.open += 1
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                exchange = Exchange(head, reader, writer)
+                self.exchanges.append(exchange)
+                await self.script(exchange)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self.open -= 1
+            writer.close()
+
+
+class OneEntry:
+    """An entry with one service, ``desk.test``."""
+
+    def __init__(self, backends: list[ScriptedBackend], upstream: Upstream) -> None:
+        self.backends = backends
+        self.dispatcher = Dispatcher(Random(1), invariants=Invariants(strict=True))
+        self.put_in_force(self.document())
+        self.forwarder = Forwarder(self.dispatcher, Operations(), upstream, Metrics())
+        self.port = 0
+
+    def document(self, domains: tuple[str, ...] = ("a", "b"), **limits: Any) -> Document:
+        one = service("desk", len(self.backends), 2, ("a", "b"), ROUTES)
+        one["failure_domains"] = list(domains)
+        one["limits"] = limits
+        for server, backend in zip(one["backend_servers"], self.backends, strict=True):
+            server["address"] = backend.address
+        return load_document(json.dumps({"format": 1, "services": [one]}).encode())
+
+    def put_in_force(self, document: Document) -> None:
+        self.dispatcher.on_document(0.0, document)
+
+    @property
+    def in_flight(self) -> int:
+        return sum(state.in_flight for state in self.dispatcher.backends)
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.open_connection("127.0.0.1", self.port, limit=2**20)
+
+    async def ask(self, raw: bytes) -> bytes:
+        """Send bytes on a connection of their own and return all that comes back."""
+        reader, writer = await self.connect()
+        writer.write(raw)
+        try:
+            return await reader.read()
+        finally:
+            writer.close()
+
+    async def get(self, target: str, method: str = "GET", headers: str = "") -> bytes:
+        """Send one request and return its whole answer."""
+        head = f"{method} {target} HTTP/1.1\r\nhost: desk.test\r\nconnection: close\r\n"
+        return await self.ask((head + headers + "\r\n").encode("latin-1"))
+
+
+@contextlib.asynccontextmanager
+async def one_entry(
+    *scripts: Script, limits: CallerLimits | None = None, upstream: Upstream | None = None
+) -> AsyncIterator[OneEntry]:
+    """Start an entry and a backend server for each script."""
+    async with contextlib.AsyncExitStack() as stack:
+        backends = [ScriptedBackend(script) for script in scripts]
+        for backend in backends:
+            await backend.start()
+            stack.callback(backend.stop)
+        entry = OneEntry(backends, upstream or await stack.enter_async_context(open_upstream()))
+        server = caller_server(
+            entry.forwarder, Listen("127.0.0.1", 0), limits or CallerLimits(), 1.0
+        )
+        serving = asyncio.create_task(server.serve())
+        assert await eventually(lambda: server.started)
+        entry.port = server.servers[0].sockets[0].getsockname()[1]
+        try:
+            yield entry
+        finally:
+            server.should_exit = True
+            await serving
--- /dev/null
+++ b/tests/test_forward_endings.py
@@ -0,0 +1,187 @@
+"""Slots are freed and backend servers told in every ending of a request."""
+
+from __future__ import annotations
+
+import asyncio
+
+import testtools
+
+from tests.one_entry import Exchange, OneEntry, answer, eventually, on_uvloop, one_entry
+
+HEAD = b"HTTP/1.1 200 OK\r\ncontent-length: 1000000\r\n\r\n"
+REQUEST = b"GET /prices/1 HTTP/1.1\r\nhost: desk.test\r\n\r\n"
+
+
+async def never(exchange: Exchange) -> None:
+    await exchange.reader.read()
+
+
+async def head_only(exchange: Exchange) -> None:
+    exchange.writer.write(HEAD)
+    await exchange.reader.read()
+
+
+async def some_body(exchange: Exchange) -> None:
+    exchange.writer.write(HEAD + b"x" * 100)
+    await exchange.reader.read()
+
+
+class EndingsTest(testtools.TestCase):
+    async def assert_freed(self, entry: OneEntry) -> None:
+        freed = await eventually(lambda: entry.in_flight == 0)
+        self.assertTrue(freed, "slot held")
+        self.assertEqual(0, entry.forwarder.in_flight)
+
+    async def assert_cancelled(self, entry: OneEntry) -> None:
+        await self.assert_freed(entry)
+        told = await eventually(lambda: entry.backends[0].open == 0)
+        self.assertTrue(told, "the backend server was not told")
+
+    async def leave(self, entry: OneEntry, seen: bytes) -> None:
+        reader, writer = await entry.connect()
+        writer.write(REQUEST)
+        self.assertTrue(await eventually(lambda: len(entry.backends[0].exchanges) == 1))
+        if seen:
+            await reader.readuntil(seen)
+        self.assertEqual(1, entry.in_flight)
+        writer.transport.abort()
+
+    @on_uvloop
+    async def test_a_caller_leaves_before_the_head(self):
+        async with one_entry(never) as entry:
+            await self.leave(entry, b"")
+            await self.assert_cancelled(entry)
+
+    @on_uvloop
+    async def test_a_caller_leaves_between_head_and_body(self):
+        async with one_entry(head_only) as entry:
+            await self.leave(entry, b"\r\n\r\n")
+            await self.assert_cancelled(entry)
+
+    @on_uvloop
+    async def test_a_caller_leaves_in_the_body(self):
+        async with one_entry(some_body) as entry:
+            await self.leave(entry, b"xxx")
+            await self.assert_cancelled(entry)
+
+    @on_uvloop
+    async def test_a_caller_that_closes_its_half_is_gone(self):
+        async with one_entry(never) as entry:
+            reader, writer = await entry.connect()
+            writer.write(REQUEST)
+            self.assertTrue(await eventually(lambda: entry.in_flight == 1))
+            writer.write_eof()
+            self.assertEqual(b"", await reader.read())
+            await self.assert_cancelled(entry)
+
+    @on_uvloop
+    async def test_a_caller_leaves_while_its_request_is_queued_behind_another(self):
+        async with one_entry(never) as entry:
+            _, writer = await entry.connect()
+            writer.write(REQUEST * 3)
+            self.assertTrue(await eventually(lambda: entry.in_flight == 1))
+            writer.transport.abort()
+            await self.assert_cancelled(entry)
+            self.assertEqual(1, len(entry.backends[0].exchanges))
+
+    @on_uvloop
+    async def test_a_cut_answer_aborts_the_caller(self):
+        async def cut(exchange: Exchange) -> None:
+            exchange.writer.write(HEAD + b"x" * 100)
+            await exchange.writer.drain()
+            await asyncio.sleep(0.05)
+            exchange.cut()
+
+        async with one_entry(cut) as entry:
+            reader, writer = await entry.connect()
+            writer.write(REQUEST)
+            with testtools.ExpectedException(ConnectionResetError):
+                await reader.read()
+            await self.assert_freed(entry)
+
+    @on_uvloop
+    async def test_a_chunked_answer_without_its_end_aborts_the_caller(self):
+        async def cut(exchange: Exchange) -> None:
+            exchange.writer.write(
+                b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n"
+            )
+            await exchange.writer.drain()
+            await asyncio.sleep(0.05)
+            exchange.writer.close()
+            await exchange.reader.read()
+
+        async with one_entry(cut) as entry:
+            reader, writer = await entry.connect()
+            writer.write(REQUEST)
+            with testtools.ExpectedException(ConnectionResetError):
+                await reader.read()
+            await self.assert_freed(entry)
+
+    @on_uvloop
+    async def test_a_deadline_that_passes_in_the_body_aborts_the_caller(self):
+        async with one_entry(some_body) as entry:
+            reader, writer = await entry.connect()
+            writer.write(REQUEST.replace(b"/prices/1", b"/late"))
+            with testtools.ExpectedException(ConnectionResetError):
+                await reader.read()
+            await self.assert_cancelled(entry)
+
+    @on_uvloop
+    async def test_a_deadline_that_passes_before_the_head_is_answered_unknown(self):
+        async with one_entry(never) as entry:
+            got = await entry.get("/late")
+            self.assertIn(b"sycamorebay-outcome: unknown", got)
+            self.assertIn(b"retry-after: ", got)
+            await self.assert_cancelled(entry)
+
+    @on_uvloop
+    async def test_a_caller_that_never_reads_holds_its_slot_until_the_deadline(self):
+        async def flood(exchange: Exchange) -> None:
+            exchange.writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 100000000\r\n\r\n")
+            while True:
+                exchange.writer.write(b"x" * 100_000)
+                await exchange.writer.drain()
+
+        async with one_entry(flood) as entry:
+            _, writer = await entry.connect()
+            writer.write(REQUEST.replace(b"/prices/1", b"/late"))
+            self.assertTrue(await eventually(lambda: entry.in_flight == 1))
+            await self.assert_cancelled(entry)
+            writer.close()
+
+    @on_uvloop
+    async def test_answers_without_a_body_free_slot_and_connection(self):
+        answers = {
+            b"GET": [
+                b"HTTP/1.1 204 No Content\r\n\r\n",
+                b"HTTP/1.1 304 Not Modified\r\ncontent-length: 70\r\n\r\n",
+                b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+            ],
+            b"HEAD": [b"HTTP/1.1 200 OK\r\ncontent-length: 70\r\n\r\n"],
+        }
+        for method, heads in answers.items():
+            for head in heads:
+                async with one_entry(answer(head)) as entry:
+                    for _ in range(2):
+                        got = await entry.get("/prices", method.decode())
+                        self.assertEqual(head.split(b"\r\n")[0], got.split(b"\r\n")[0])
+                        self.assertTrue(got.endswith(b"\r\n\r\n"), got)
+                        await self.assert_freed(entry)
+                    self.assertEqual(1, entry.backends[0].connections)
+
+    @on_uvloop
+    async def test_the_length_of_a_head_answer_stays(self):
+        async with one_entry(answer(b"HTTP/1.1 200 OK\r\ncontent-length: 70\r\n\r\n")) as entry:
+            self.assertIn(b"content-length: 70\r\n", await entry.get("/prices", "HEAD"))
+
+    @on_uvloop
+    async def test_a_large_answer_comes_whole_and_frees_its_slot(self):
+        whole = b"HTTP/1.1 200 OK\r\ncontent-length: 3000000\r\n\r\n" + b"x" * 3_000_000
+        async with one_entry(answer(whole)) as entry:
+            reader, writer = await entry.connect()
+            writer.write(REQUEST)
+            await reader.readuntil(b"\r\n\r\n")
+            got = await reader.readexactly(3_000_000)
+            self.assertEqual(3_000_000, len(got))
+            await self.assert_freed(entry)
+            writer.close()
