--- a/src/sycamorebay/transport/daemon.py
+++ b/src/sycamorebay/transport/daemon.py
@@ -22,7 +22,7 @@
 from sycamorebay.transport.clock import boottime
 from sycamorebay.transport.following import StoreFollower
 from sycamorebay.transport.forward import Forwarder
-from sycamorebay.transport.front import caller_app, server
+from sycamorebay.transport.front import caller_server, server
 from sycamorebay.transport.heartbeats import Heartbeats
 from sycamorebay.transport.in_force import RevisionInForce
 from sycamorebay.transport.operators import Status, operator_app
@@ -103,7 +103,7 @@
     async def _serve(self, forwarder: Forwarder) -> None:
         """Listen to callers and operators until told to stop; callers' listener ends first."""
         settings = self._settings
-        callers = server(caller_app(forwarder), settings.callers, settings.stop.limit_s)
+        callers = caller_server(forwarder, settings.callers, settings.limits, settings.stop.limit_s)
         operators = server(
             operator_app(self._secrets, self._metrics, self._status),
             settings.operators,
@@ -115,6 +115,7 @@
         stopping = asyncio.create_task(self._stopping.wait())
         await asyncio.wait([stopping, *tasks], return_when=asyncio.FIRST_COMPLETED)
         _log.info("stopping")
+        callers.announce_stop()
         await asyncio.sleep(settings.stop.notice_s)
         for listener, task in zip(listeners, tasks, strict=True):
             listener.should_exit = True
