--- a/src/sycamorebay/transport/forward.py
+++ b/src/sycamorebay/transport/forward.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+import uuid
 from collections.abc import AsyncIterator, Callable
 from itertools import count
 from typing import Protocol
@@ -24,12 +25,26 @@
 )
 from sycamorebay.coordination.operations import KeptAnswer, Operations
 from sycamorebay.metrics import Metrics
-from sycamorebay.outcomes import NotRun, Refusal
+from sycamorebay.outcomes import NotRun, Refusal, Unknown
 from sycamorebay.protocol import headers as names
-from sycamorebay.protocol.headers import Headers, end_to_end, header_value, load_report
-from sycamorebay.protocol.problem import MEDIA_TYPE, problem_body
-from sycamorebay.transport.operate import Operator
-from sycamorebay.transport.upstream import AttemptError, BackendAnswer, OutgoingRequest, Upstream
+from sycamorebay.protocol.headers import (
+    Headers,
+    answer_headers,
+    load_report,
+    request_headers,
+    request_id_of,
+)
+from sycamorebay.protocol.headers import header as _header
+from sycamorebay.protocol.problem import problem_body, problem_headers
+from sycamorebay.transport.operate import Forwarding, Operator
+from sycamorebay.transport.upstream import (
+    AttemptError,
+    BackendAnswer,
+    CallerBodyError,
+    CutOffError,
+    OutgoingRequest,
+    Upstream,
+)
 
 MAX_REPLAYABLE_BYTES = 65_536
 
@@ -37,7 +52,7 @@
 
 
 class IncomingRequest(Protocol):
-    """A caller's request as its listener read it."""
+    """A caller's request as its listener read it; names of headers are in lower case."""
 
     method: str
     host: str
@@ -52,11 +67,11 @@
         ...
 
     async def read(self) -> bytes:
-        """Return the whole body."""
+        """Return the whole body; raises `CallerBodyError` where it ends early."""
         ...
 
     def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body."""
+        """Yield the body; raises `CallerBodyError` where it ends early."""
         ...
 
 
@@ -80,7 +95,7 @@
 
 
 @attrs.define
-class Exchange:
+class _Exchange:
     """State of one request in flight."""
 
     incoming: IncomingRequest
@@ -90,11 +105,7 @@
     body: bytes | AsyncIterator[bytes] | None
     mailbox: asyncio.Future[Action] | None = None
     backend_s: float = 0.0
-
-    @staticmethod
-    def replay(kept: KeptAnswer) -> OutgoingAnswer:
-        """Return a kept answer as the caller gets it."""
-        return OutgoingAnswer(kept.status, list(kept.headers), kept.body)
+    sent: bool = False
 
 
 class ForwardedBody:
@@ -104,6 +115,8 @@
     ----------
     answer : BackendAnswer
         The answer.
+    deadline : float
+        When the answer must have reached the caller, in seconds on the entry's clock.
     log_id, peer : str
         The request and the backend server, for logs.
     on_end : callable
@@ -111,8 +124,14 @@
     """
 
     def __init__(
-        self, answer: BackendAnswer, log_id: str, peer: str, on_end: Callable[[], None]
+        self,
+        answer: BackendAnswer,
+        deadline: float,
+        log_id: str,
+        peer: str,
+        on_end: Callable[[], None],
     ) -> None:
+        self.deadline = deadline
         self._answer = answer
         self._log_id = log_id
         self._peer = peer
@@ -122,26 +141,43 @@
     async def __aiter__(self) -> AsyncIterator[bytes]:
         try:
             async for chunk in self._answer.chunks():
+                if self._answer.ended():
+                    self.close()
                 yield chunk
-        except Exception as error:
-            _log.warning(
-                "answer cut off",
-                request_id=self._log_id,
-                step="body",
-                peer=self._peer,
-                reason=str(error) or type(error).__name__,
-            )
+        except CutOffError as error:
+            self.on_cut_off(str(error))
             raise
         finally:
-            await self.close()
+            self.close()
+
+    def ended(self) -> bool:
+        """Whether the body was read whole."""
+        return self._answer.ended()
+
+    def whole(self) -> bytes | None:
+        """Return the whole body and free its slot, or None where not all of it has come."""
+        body = self._answer.whole()
+        if body is not None:
+            self.close()
+        return body
 
-    async def close(self) -> None:
+    def on_cut_off(self, reason: str) -> None:
+        """Take the early end of the body."""
+        _log.warning(
+            "answer cut off",
+            request_id=self._log_id,
+            step="body",
+            peer=self._peer,
+            reason=reason,
+        )
+
+    def close(self) -> None:
         """Free the slot and the connection; more than once does no harm."""
         if self._closed:
             return
         self._closed = True
+        self._answer.release()
         self._on_end()
-        await self._answer.release()
 
 
 class Forwarder:
@@ -170,12 +206,14 @@
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._dispatcher = dispatcher
-        self._operator = Operator(operations, self._run, self._refused, clock)
+        forwarding = Forwarding(self._run_owned, self._refused, self._replayed)
+        self._operator = Operator(operations, forwarding, clock)
         self._upstream = upstream
         self._metrics = metrics
         self._clock = clock
         self._ids = count(1)
-        self._by_request: dict[int, Exchange] = {}
+        self._id_prefix = uuid.uuid4().hex[:12]
+        self._by_request: dict[int, _Exchange] = {}
 
     @property
     def in_flight(self) -> int:
@@ -186,44 +224,61 @@
         """Return the answer of one request; cancelling it tells that the caller is gone."""
         arrived = self._clock()
         self._metrics.requests.inc()
-        exchange = await self._open(incoming, arrived)
-        key = header_value(incoming.headers, names.IDEMPOTENCY_KEY)
+        exchange = self._open(incoming, arrived)
+        key = _header(incoming.headers, names.IDEMPOTENCY_KEY)
+        if key is None:
+            return await self._run_owned(exchange)
+        try:
+            await _read_body(exchange)
+        except CallerBodyError as error:
+            return self._refused(exchange, NotRun("read", "caller", str(error), 408))
+        return await self._operator.operate(exchange, key)
+
+    async def _run_owned(self, exchange: _Exchange) -> OutgoingAnswer:
+        """Run a request; cancelling this gives it up."""
         self._by_request[exchange.request.id] = exchange
         try:
-            if key is None:
-                return await self._run(exchange)
-            return await self._operator.operate(exchange, key)
-        except asyncio.CancelledError:
-            self._carry_out(self._dispatcher.on_caller_gone(self._clock(), exchange.request.id))
+            await _read_body(exchange)
+            return await self._run(exchange)
+        except CallerBodyError as error:
+            self._give_up(exchange)
+            outcome = Unknown if exchange.sent else NotRun
+            return self._refused(exchange, outcome("read", "caller", str(error), 408))
+        except BaseException:
+            self._give_up(exchange)
             raise
         finally:
             del self._by_request[exchange.request.id]
 
+    def on_early_refusal(self, refusal: Refusal) -> None:
+        """Take a refusal of something that could not be read as a request."""
+        self._metrics.requests.inc()
+        self._count_refusal(refusal, "")
+
     def on_actions(self, actions: list[Action]) -> None:
         """Carry out actions that no request's own event returned, such as a timer's."""
         self._carry_out(actions)
 
-    async def _open(self, incoming: IncomingRequest, arrived: float) -> Exchange:
-        body: bytes | AsyncIterator[bytes] | None = None
-        if incoming.has_body():
-            length = incoming.content_length
-            if length is not None and length <= MAX_REPLAYABLE_BYTES:
-                body = await incoming.read()
-            else:
-                body = incoming.chunks()
+    def _open(self, incoming: IncomingRequest, arrived: float) -> _Exchange:
+        length = incoming.content_length
+        streamed = incoming.has_body() and (length is None or length > MAX_REPLAYABLE_BYTES)
         request_id = next(self._ids)
         request = Request(
             id=request_id,
             host=incoming.host,
             method=incoming.method,
             path=incoming.path,
-            replayable=body is None or isinstance(body, bytes),
+            replayable=not streamed,
             deadline_s=_deadline_s(incoming.headers),
         )
-        log_id = header_value(incoming.headers, names.REQUEST_ID) or f"{id(self):x}-{request_id}"
-        return Exchange(incoming, request, log_id, arrived, body)
+        log_id = request_id_of(incoming.headers) or f"{self._id_prefix}-{request_id}"
+        body = incoming.chunks() if streamed else None
+        return _Exchange(incoming, request, log_id, arrived, body)
+
+    def _give_up(self, exchange: _Exchange) -> None:
+        self._carry_out(self._dispatcher.on_caller_gone(self._clock(), exchange.request.id))
 
-    async def _run(self, exchange: Exchange) -> OutgoingAnswer:
+    async def _run(self, exchange: _Exchange) -> OutgoingAnswer:
         actions = self._dispatcher.on_request(self._clock(), exchange.request)
         while True:
             action = self._own(exchange, actions)
@@ -238,16 +293,19 @@
                 return answer
 
     async def _attempt(
-        self, exchange: Exchange, send: Send
+        self, exchange: _Exchange, send: Send
     ) -> tuple[OutgoingAnswer | None, list[Action]]:
         self._metrics.attempts.inc()
         started = self._clock()
         attempt_id = send.attempt_id
+
+        def may_send() -> bool:
+            allowed = self._dispatcher.may_send(attempt_id)
+            exchange.sent = exchange.sent or allowed
+            return allowed
+
         try:
-            answer = await self._upstream.send(
-                self._outgoing(exchange, send, started),
-                lambda: self._dispatcher.may_send(attempt_id),
-            )
+            answer = await self._upstream.send(self._outgoing(exchange, send), may_send)
         except AttemptError as error:
             exchange.backend_s += self._clock() - started
             return None, self._failed(exchange, send, error.failure)
@@ -263,7 +321,7 @@
         self._observe(exchange, now)
         return self._deliver(exchange, send, answer), actions
 
-    def _failed(self, exchange: Exchange, send: Send, failure: Failure) -> list[Action]:
+    def _failed(self, exchange: _Exchange, send: Send, failure: Failure) -> list[Action]:
         _log.warning(
             "attempt failed",
             request_id=exchange.log_id,
@@ -273,64 +331,56 @@
         )
         return self._dispatcher.on_failure(self._clock(), send.attempt_id, failure)
 
-    def _outgoing(self, exchange: Exchange, send: Send, now: float) -> OutgoingRequest:
+    def _outgoing(self, exchange: _Exchange, send: Send) -> OutgoingRequest:
         incoming = exchange.incoming
-        time_left_s = max(0.0, send.deadline - now)
-        headers = [
-            pair
-            for pair in end_to_end(incoming.headers)
-            if pair[0] not in (names.DEADLINE, names.ATTEMPT, "content-length", "expect")
-        ]
-        if isinstance(exchange.body, bytes) or incoming.content_length is not None:
-            length = incoming.content_length or 0
-            headers.append(("content-length", str(length)))
-        headers.append((names.DEADLINE, str(int(time_left_s * 1000))))
-        headers.append(("x-forwarded-for", incoming.caller))
-        headers.append(("via", "1.1 sycamorebay"))
         return OutgoingRequest(
             address=send.backend_server.address,
             method=incoming.method,
             target=incoming.target,
-            headers=headers,
+            headers=request_headers(incoming.headers, incoming.caller, exchange.log_id),
             body=exchange.body,
-            time_left_s=time_left_s,
+            length=incoming.content_length,
+            deadline=send.deadline,
         )
 
-    def _deliver(self, exchange: Exchange, send: Send, answer: BackendAnswer) -> OutgoingAnswer:
+    def _deliver(self, exchange: _Exchange, send: Send, answer: BackendAnswer) -> OutgoingAnswer:
         def on_end() -> None:
             self._carry_out(self._dispatcher.on_end(self._clock(), send.attempt_id))
 
-        body = ForwardedBody(answer, exchange.log_id, send.backend_server.id, on_end)
-        return OutgoingAnswer(answer.status, end_to_end(answer.headers), body)
+        body = ForwardedBody(answer, send.deadline, exchange.log_id, send.backend_server.id, on_end)
+        headers = answer_headers(answer.headers, answer.status, exchange.log_id)
+        return OutgoingAnswer(answer.status, headers, body)
 
-    def _observe(self, exchange: Exchange, now: float) -> None:
+    def _observe(self, exchange: _Exchange, now: float) -> None:
         self._metrics.backend.observe(exchange.backend_s)
         self._metrics.added.observe(now - exchange.arrived - exchange.backend_s)
 
-    def _refused(self, exchange: Exchange, refusal: Refusal) -> OutgoingAnswer:
+    def _replayed(self, kept: KeptAnswer) -> OutgoingAnswer:
+        return OutgoingAnswer(kept.status, list(kept.headers), kept.body)
+
+    def _refused(self, exchange: _Exchange, refusal: Refusal) -> OutgoingAnswer:
+        self._count_refusal(refusal, exchange.log_id)
+        headers = problem_headers(refusal, exchange.log_id)
+        return OutgoingAnswer(refusal.status, headers, problem_body(refusal, exchange.log_id))
+
+    def _count_refusal(self, refusal: Refusal, log_id: str) -> None:
         self._metrics.on_refusal(refusal)
         _log.info(
             "request refused",
-            request_id=exchange.log_id,
+            request_id=log_id,
             outcome=refusal.tag,
             step=refusal.step,
             peer=refusal.peer,
             reason=refusal.reason,
         )
-        headers = [
-            ("content-type", MEDIA_TYPE),
-            ("retry-after", str(refusal.retry_after_s)),
-            (names.OUTCOME, refusal.tag),
-        ]
-        return OutgoingAnswer(refusal.status, headers, problem_body(refusal, exchange.log_id))
 
-    def _own(self, exchange: Exchange, actions: list[Action]) -> Action:
+    def _own(self, exchange: _Exchange, actions: list[Action]) -> Action:
         own = actions[0]
         if len(actions) > 1:
             self._carry_out(actions[1:])
         return own
 
-    async def _wait(self, exchange: Exchange) -> Action:
+    async def _wait(self, exchange: _Exchange) -> Action:
         exchange.mailbox = asyncio.get_running_loop().create_future()
         try:
             return await exchange.mailbox
@@ -346,7 +396,12 @@
 
 
 def _deadline_s(headers: Headers) -> float | None:
-    value = header_value(headers, names.DEADLINE)
+    value = _header(headers, names.DEADLINE)
     if value is None or not value.isdecimal():
         return None
     return int(value[:9]) / 1000
+
+
+async def _read_body(exchange: _Exchange) -> None:
+    if exchange.body is None and exchange.incoming.has_body():
+        exchange.body = await exchange.incoming.read()
--- a/src/sycamorebay/transport/operate.py
+++ b/src/sycamorebay/transport/operate.py
@@ -17,15 +17,35 @@
 )
 from sycamorebay.outcomes import NotRun, Refusal
 from sycamorebay.protocol import headers as names
-from sycamorebay.protocol.headers import header_value
+from sycamorebay.protocol.headers import header
 
 if TYPE_CHECKING:
-    from sycamorebay.transport.forward import Exchange, OutgoingAnswer
+    from sycamorebay.transport.forward import OutgoingAnswer
+    from sycamorebay.transport.forward import _Exchange as Exchange
 
 MAX_KEPT_ANSWER_BYTES = 16_384
 MAX_KEY_CHARS = 255
 
 
+@attrs.frozen
+class Forwarding:
+    """What an operator needs of the forwarding path.
+
+    Attributes
+    ----------
+    run : callable
+        Sends a request to a backend server and returns its answer.
+    refuse : callable
+        Returns the answer of a refusal.
+    replay : callable
+        Returns a kept answer as the caller gets it.
+    """
+
+    run: Callable[[Exchange], Awaitable[OutgoingAnswer]]
+    refuse: Callable[[Exchange, Refusal], OutgoingAnswer]
+    replay: Callable[[KeptAnswer], OutgoingAnswer]
+
+
 class Operator:
     """Drives the decisions on keyed operations.
 
@@ -33,40 +53,33 @@
     ----------
     operations : Operations
         Decides whether they run.
-    run : callable
-        Sends a request to a backend server and returns its answer.
-    refuse : callable
-        Returns the answer of a refusal.
+    forwarding : Forwarding
+        Runs them.
     clock : callable
         Time in seconds, never going back.
     """
 
     def __init__(
-        self,
-        operations: Operations,
-        run: Callable[[Exchange], Awaitable[OutgoingAnswer]],
-        refuse: Callable[[Exchange, Refusal], OutgoingAnswer],
-        clock: Callable[[], float],
+        self, operations: Operations, forwarding: Forwarding, clock: Callable[[], float]
     ) -> None:
         self._operations = operations
-        self._run = run
-        self._refuse = refuse
+        self._forwarding = forwarding
         self._clock = clock
 
     async def operate(self, exchange: Exchange, key: str) -> OutgoingAnswer:
         """Return the answer of one send of a keyed operation."""
         fingerprint = fingerprint_of(exchange)
-        first_send = header_value(exchange.incoming.headers, names.ATTEMPT) == "1"
+        first_send = header(exchange.incoming.headers, names.ATTEMPT) == "1"
         if len(key) > MAX_KEY_CHARS or fingerprint is None:
             reason = "the key is too long or the body of a keyed operation is too large"
-            return self._refuse(exchange, NotRun("operation", "", reason, 400))
+            return self._forwarding.refuse(exchange, NotRun("operation", "", reason, 400))
         operation = Operation(key, fingerprint, first_send)
         decision = self._operations.on_operation(self._clock(), operation)
         if isinstance(decision, Replay):
-            return exchange.replay(decision.answer)
+            return self._forwarding.replay(decision.answer)
         if isinstance(decision, Reject):
-            return self._refuse(exchange, decision.refusal)
-        return await self._keep(key, await self._run(exchange))
+            return self._forwarding.refuse(exchange, decision.refusal)
+        return await self._keep(key, await self._forwarding.run(exchange))
 
     async def _keep(self, key: str, answer: OutgoingAnswer) -> OutgoingAnswer:
         if isinstance(answer.body, bytes):
