Run keyed operations at most once across entries

A first send that its caller marks runs at the entry that got it; any other asks every entry whose registered range of keys holds the key's time.

--- a/Makefile
+++ b/Makefile
@@ -17,8 +17,8 @@
 	$(BIN)/python -m tests
 
 check: install
-	$(BIN)/black --check --quiet src standins bench tests
-	$(BIN)/ruff check --quiet src standins bench tests
+	$(BIN)/black --check --quiet src standins bench specs tests
+	$(BIN)/ruff check --quiet src standins bench specs tests
 	$(BIN)/mypy
 
 demo: install
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -25,6 +25,7 @@
 PEERS_PORT = 7000
 BACKEND_PORT = 10_000
 CONTROL_PORT = 6000
+CLOCK_SKEW_S = 0.05
 ROOT = Path(__file__).resolve().parent.parent
 
 _fleets = itertools.count(1)
@@ -235,6 +236,7 @@
             "peers": {"address": self.address, "port": PEERS_PORT + index},
             "platform": {"url": self.platform_url, "vm_list_url": self.platform_url + "/vms"},
             "secret_file": str(self.directory / "secret"),
+            "operations": {"clock_skew_s": CLOCK_SKEW_S},
             "stop": {"notice_s": 0.2, "limit_s": 5},
             **self.shape.settings,
         }
--- a/bench/load.py
+++ b/bench/load.py
@@ -134,11 +134,11 @@
         return sorted(arrivals, key=lambda arrival: arrival[0])
 
     async def _call(self, session: aiohttp.ClientSession, kind: Kind, intended: float) -> None:
-        token = uuid.UUID(int=self._rng.getrandbits(128)).hex
+        token = new_key(self._rng)
         told: list[str] = []
         for _ in range(MAX_SENDS):
-            sent_before = any(outcome != "unreached" for outcome in told)
-            outcome, step, retry_after = await self._send(session, kind, token, not sent_before)
+            first = all(outcome in ("unreached", "not-run") for outcome in told)
+            outcome, step, retry_after = await self._send(session, kind, token, first)
             told.append(outcome)
             if outcome == "unreached":
                 continue
@@ -182,6 +182,13 @@
         return "served", "", 0.0
 
 
+def new_key(rng: random.Random) -> str:
+    """Return a UUID of version 7 with the time of now."""
+    milliseconds = int(time.time() * 1000)
+    number = milliseconds << 80 | 7 << 76 | rng.getrandbits(12) << 64
+    return uuid.UUID(int=number | 2 << 62 | rng.getrandbits(62)).hex
+
+
 def _json(body: bytes) -> Any:
     return json.loads(body)
 
--- /dev/null
+++ b/specs/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications for the model checker; never installed with the package."""
--- a/src/sycamorebay/coordination/dispatch.py
+++ b/src/sycamorebay/coordination/dispatch.py
@@ -163,6 +163,11 @@
             state.leaving = report.leaving
         return []
 
+    def failure_domains(self, host: str) -> tuple[str, ...]:
+        """Return where the service of a host may be served and its records may be held."""
+        service = self.document.service_for(host) if self.document is not None else None
+        return service.failure_domains if service is not None else ()
+
     def may_send(self, attempt_id: int) -> bool:
         """Whether an attempt's place is allowed still; asked before its first byte."""
         attempt = self._by_attempt.get(attempt_id)
--- /dev/null
+++ b/src/sycamorebay/protocol/inquiries.py
@@ -0,0 +1,65 @@
+"""Inquiries about keyed operations on the wire between entries."""
+
+from __future__ import annotations
+
+from sycamorebay.coordination.membership import Member
+from sycamorebay.coordination.operations import Inquiry, InquiryReply
+from sycamorebay.errors import PeerError
+from sycamorebay.protocol.generated.peers import ttypes
+from sycamorebay.protocol.generated.peers.ttypes import Body
+from sycamorebay.state.operations import KeptAnswer, Phase, parse_key
+
+
+def encode_inquiry(inquiry: Inquiry) -> Body:
+    """Return the message of an inquiry."""
+    asker = inquiry.asker
+    wire = ttypes.Member(asker.id, asker.incarnation, asker.address, asker.failure_domain)
+    return Body(
+        inquire=ttypes.Inquire(inquiry.key.text, inquiry.attempt, inquiry.fingerprint, wire)
+    )
+
+
+def decode_inquiry(message: ttypes.Inquire) -> Inquiry:
+    """Return the inquiry of a message.
+
+    Raises
+    ------
+    PeerError
+        Where its key is malformed.
+    """
+    key = parse_key(message.key)
+    if key is None:
+        raise PeerError("an inquiry's key is malformed", step="decode")
+    wire = message.asker
+    asker = Member(wire.id, wire.incarnation, wire.address, wire.failure_domain)
+    return Inquiry(key, message.attempt, message.fingerprint, asker)
+
+
+def encode_reply(reply: InquiryReply, incarnation: int) -> Body:
+    """Return the message of a reply from one incarnation of an entry."""
+    answer = None
+    if reply.answer is not None:
+        fields = [ttypes.HeaderField(name, value) for name, value in reply.answer.headers]
+        answer = ttypes.KeptAnswer(reply.answer.status, fields, reply.answer.body)
+    return Body(
+        inquire_reply=ttypes.InquireReply(int(reply.phase), answer, reply.mismatch, incarnation)
+    )
+
+
+def decode_reply(message: ttypes.InquireReply) -> InquiryReply:
+    """Return the reply of a message.
+
+    Raises
+    ------
+    PeerError
+        Where it names no known phase.
+    """
+    try:
+        phase = Phase(message.phase)
+    except ValueError as error:
+        raise PeerError(f"unknown phase {message.phase}", step="decode") from error
+    kept = message.answer
+    if kept is None:
+        return InquiryReply(phase, None, message.mismatch)
+    headers = tuple((field.name, field.value) for field in kept.headers)
+    return InquiryReply(phase, KeptAnswer(kept.status, headers, kept.body), message.mismatch)
--- a/src/sycamorebay/protocol/peers.thrift
+++ b/src/sycamorebay/protocol/peers.thrift
@@ -35,11 +35,27 @@
 
 struct Inquire {
   1: string key
+  2: i64 attempt
+  3: binary fingerprint
+  4: Member asker
+}
+
+struct HeaderField {
+  1: string name
+  2: string value
+}
+
+struct KeptAnswer {
+  1: i16 status
+  2: list<HeaderField> headers
+  3: binary body
 }
 
 struct InquireReply {
-  1: i16 state
-  2: optional binary answer
+  1: i16 phase
+  2: optional KeptAnswer answer
+  3: bool mismatch
+  4: i64 incarnation
 }
 
 struct Failed {
--- a/src/sycamorebay/settings.py
+++ b/src/sycamorebay/settings.py
@@ -109,6 +109,32 @@
     limit_s: float = 30.0
 
 
+@attrs.frozen
+class OperationSettings:
+    """How keyed operations run; see docs/operations-at-most-once.md.
+
+    Attributes
+    ----------
+    trust_first_send : bool
+        Whether a send that its caller marks as the first runs without asking peers.
+    clock_skew_s : float
+        Largest difference between the clocks of any two entries, in seconds.
+    keys_ahead_s : float
+        How long first sends run without the platform's service, in seconds.
+    max_key_age_s : float
+        Age in seconds from which a key is refused and its record may be dropped.
+    max_records, max_kept_bytes : int
+        Bounds on records and on the bytes of kept answers.
+    """
+
+    trust_first_send: bool = True
+    clock_skew_s: float = 2.0
+    keys_ahead_s: float = 900.0
+    max_key_age_s: float = 900.0
+    max_records: int = 50_000
+    max_kept_bytes: int = 8_000_000
+
+
 @attrs.frozen
 class LogSettings:
     """Format and level of the log."""
@@ -165,6 +191,7 @@
     stop: StopSettings = attrs.field(factory=StopSettings)
     limits: CallerLimits = attrs.field(factory=CallerLimits)
     log: LogSettings = attrs.field(factory=LogSettings)
+    operations: OperationSettings = attrs.field(factory=OperationSettings)
 
     def secrets(self) -> list[bytes]:
         """Return the shared secrets, newest first; none where no file is named."""
--- a/src/sycamorebay/transport/daemon.py
+++ b/src/sycamorebay/transport/daemon.py
@@ -25,11 +25,13 @@
 from sycamorebay.transport.front import caller_server, server
 from sycamorebay.transport.heartbeats import Heartbeats
 from sycamorebay.transport.in_force import RevisionInForce
+from sycamorebay.transport.inquire import Inquirer, NetworkPeers
 from sycamorebay.transport.operators import Status, operator_app
 from sycamorebay.transport.pauses import PauseWatch
 from sycamorebay.transport.peer_messages import PeerMessages
 from sycamorebay.transport.peers import PeerNetwork
 from sycamorebay.transport.platform import open_store
+from sycamorebay.transport.ranges import RangeRegistry, for_ranges
 from sycamorebay.transport.registration import Registration
 from sycamorebay.transport.secrets import SecretFile, SecretRefresh
 from sycamorebay.transport.upstream import open_upstream
@@ -76,6 +78,7 @@
         """Serve until SIGTERM or SIGINT, then stop gracefully."""
         self._take_signals()
         settings = self._settings
+        own = self._membership.own
         async with contextlib.AsyncExitStack() as stack:
             upstream = await stack.enter_async_context(open_upstream())
             store = await stack.enter_async_context(
@@ -90,9 +93,24 @@
                 self._heartbeats,
                 SecretRefresh(self._secrets),
             ]
+            operations = Operations(settings.operations, own, self._dispatcher.invariants)
+            range_store = await stack.enter_async_context(
+                open_store(for_ranges(settings.platform), self._on_platform_call)
+            )
+            registry = RangeRegistry(
+                range_store,
+                settings.environment,
+                own,
+                settings.operations,
+                operations.range.on_confirmed,
+            )
+            inquirer = Inquirer(operations, own, NetworkPeers(self._network, registry.read))
+            self._messages.on("inquire", inquirer.on_inquire)
+            background.append(registry)
             await stack.enter_async_context(running(background))
-            forwarder = Forwarder(self._dispatcher, Operations(), upstream, self._metrics)
+            forwarder = Forwarder(self._dispatcher, operations, inquirer, upstream, self._metrics)
             await self._serve(forwarder)
+            await forwarder.operator.drain()
         _log.info("stopped")
 
     def _take_signals(self) -> None:
--- a/src/sycamorebay/transport/forward.py
+++ b/src/sycamorebay/transport/forward.py
@@ -23,7 +23,7 @@
     Request,
     Send,
 )
-from sycamorebay.coordination.operations import KeptAnswer, Operations
+from sycamorebay.coordination.operations import Operations
 from sycamorebay.metrics import Metrics
 from sycamorebay.outcomes import NotRun, Refusal, Unknown
 from sycamorebay.protocol import headers as names
@@ -36,7 +36,9 @@
 )
 from sycamorebay.protocol.headers import header as _header
 from sycamorebay.protocol.problem import problem_body, problem_headers
-from sycamorebay.transport.operate import Forwarding, Operator
+from sycamorebay.state.operations import KeptAnswer
+from sycamorebay.transport.inquire import Inquirer
+from sycamorebay.transport.operate import Forwarding, Operator, StartedBody
 from sycamorebay.transport.upstream import (
     AttemptError,
     BackendAnswer,
@@ -91,7 +93,7 @@
 
     status: int
     headers: Headers
-    body: bytes | ForwardedBody
+    body: bytes | ForwardedBody | StartedBody
 
 
 @attrs.define
@@ -189,6 +191,8 @@
         Decides where requests go.
     operations : Operations
         Decides whether keyed operations run.
+    inquirer : Inquirer
+        Asks peers about keyed operations.
     upstream : Upstream
         Reaches backend servers.
     metrics : Metrics
@@ -201,13 +205,16 @@
         self,
         dispatcher: Dispatcher,
         operations: Operations,
+        inquirer: Inquirer,
         upstream: Upstream,
         metrics: Metrics,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._dispatcher = dispatcher
-        forwarding = Forwarding(self._run_owned, self._refused, self._replayed)
-        self._operator = Operator(operations, forwarding, clock)
+        forwarding = Forwarding(
+            self._run_owned, self._refused, self._replayed, dispatcher.failure_domains
+        )
+        self.operator = Operator(operations, inquirer, forwarding)
         self._upstream = upstream
         self._metrics = metrics
         self._clock = clock
@@ -232,7 +239,7 @@
             await _read_body(exchange)
         except CallerBodyError as error:
             return self._refused(exchange, NotRun("read", "caller", str(error), 408))
-        return await self._operator.operate(exchange, key)
+        return await self.operator.operate(exchange, key)
 
     async def _run_owned(self, exchange: _Exchange) -> OutgoingAnswer:
         """Run a request; cancelling this gives it up."""
--- a/src/sycamorebay/transport/front.py
+++ b/src/sycamorebay/transport/front.py
@@ -15,6 +15,7 @@
 from sycamorebay.settings import CallerLimits, Listen
 from sycamorebay.transport.caller_protocol import CONNECTION, CallerProtocol, Listener
 from sycamorebay.transport.forward import ForwardedBody, Forwarder, OutgoingAnswer
+from sycamorebay.transport.operate import StartedBody
 from sycamorebay.transport.upstream import CallerBodyError, CutOffError
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -149,7 +150,7 @@
     await send({"type": "http.response.start", "status": answer.status, "headers": headers})
 
 
-async def _send_body(send: Send, body: ForwardedBody) -> None:
+async def _send_body(send: Send, body: ForwardedBody | StartedBody) -> None:
     async for chunk in body:
         if body.ended():
             await send({"type": "http.response.body", "body": chunk})
--- a/src/sycamorebay/transport/operate.py
+++ b/src/sycamorebay/transport/operate.py
@@ -1,30 +1,43 @@
-"""Keyed operations: one send from its arrival to its answer."""
+"""Keyed operations: one send from its arrival to its answer.
+
+An operation that was begun goes on when its caller leaves, so that a later send finds its answer.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+import asyncio
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import TYPE_CHECKING
 
 import attrs
 import xxhash
 
+from sycamorebay import log
 from sycamorebay.coordination.operations import (
-    KeptAnswer,
+    STEP,
+    Decision,
+    Inquire,
     Operation,
     Operations,
     Reject,
     Replay,
+    Run,
 )
-from sycamorebay.outcomes import NotRun, Refusal
+from sycamorebay.outcomes import NotRun, Refusal, Unknown
 from sycamorebay.protocol import headers as names
 from sycamorebay.protocol.headers import header
+from sycamorebay.state.operations import KeptAnswer, OperationKey
+from sycamorebay.transport.inquire import Inquirer
+from sycamorebay.transport.upstream import CutOffError
 
 if TYPE_CHECKING:
-    from sycamorebay.transport.forward import OutgoingAnswer
+    from sycamorebay.transport.forward import ForwardedBody, OutgoingAnswer
     from sycamorebay.transport.forward import _Exchange as Exchange
 
 MAX_KEPT_ANSWER_BYTES = 16_384
-MAX_KEY_CHARS = 255
+
+_log = log.part("operations")
 
 
 @attrs.frozen
@@ -39,11 +52,14 @@
         Returns the answer of a refusal.
     replay : callable
         Returns a kept answer as the caller gets it.
+    failure_domains : callable
+        Returns where the service of a host allows its records.
     """
 
     run: Callable[[Exchange], Awaitable[OutgoingAnswer]]
     refuse: Callable[[Exchange, Refusal], OutgoingAnswer]
     replay: Callable[[KeptAnswer], OutgoingAnswer]
+    failure_domains: Callable[[str], tuple[str, ...]]
 
 
 class Operator:
@@ -53,44 +69,183 @@
     ----------
     operations : Operations
         Decides whether they run.
+    inquirer : Inquirer
+        Asks peers.
     forwarding : Forwarding
         Runs them.
     clock : callable
-        Time in seconds, never going back.
+        UTC in seconds since 1970.
     """
 
     def __init__(
-        self, operations: Operations, forwarding: Forwarding, clock: Callable[[], float]
+        self,
+        operations: Operations,
+        inquirer: Inquirer,
+        forwarding: Forwarding,
+        clock: Callable[[], float] = time.time,
     ) -> None:
         self._operations = operations
+        self._inquirer = inquirer
         self._forwarding = forwarding
         self._clock = clock
+        self._task_by_key: dict[str, asyncio.Task[OutgoingAnswer]] = {}
 
     async def operate(self, exchange: Exchange, key: str) -> OutgoingAnswer:
         """Return the answer of one send of a keyed operation."""
         fingerprint = fingerprint_of(exchange)
+        if fingerprint is None:
+            reason = "the body of a keyed operation is too large or has no length"
+            return self._refuse(exchange, NotRun(STEP, "", reason, 413))
         first_send = header(exchange.incoming.headers, names.ATTEMPT) == "1"
-        if len(key) > MAX_KEY_CHARS or fingerprint is None:
-            reason = "the key is too long or the body of a keyed operation is too large"
-            return self._forwarding.refuse(exchange, NotRun("operation", "", reason, 400))
         operation = Operation(key, fingerprint, first_send)
         decision = self._operations.on_operation(self._clock(), operation)
         if isinstance(decision, Replay):
             return self._forwarding.replay(decision.answer)
         if isinstance(decision, Reject):
-            return self._forwarding.refuse(exchange, decision.refusal)
-        return await self._keep(key, await self._forwarding.run(exchange))
+            return self._refuse(exchange, decision.refusal)
+        if isinstance(decision, Run | Inquire):
+            return await self._begin(exchange, decision)
+        return await self._join(exchange, decision.key)
+
+    async def drain(self) -> None:
+        """Wait for every operation that was begun."""
+        if self._task_by_key:
+            await asyncio.wait(self._task_by_key.values())
+
+    async def _begin(self, exchange: Exchange, decision: Run | Inquire) -> OutgoingAnswer:
+        key = decision.key
+        task = asyncio.create_task(self._perform(exchange, decision))
+        self._task_by_key[key.text] = task
+        task.add_done_callback(lambda _: self._task_by_key.pop(key.text, None))
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            task.add_done_callback(self._discard)
+            raise
 
-    async def _keep(self, key: str, answer: OutgoingAnswer) -> OutgoingAnswer:
+    async def _join(self, exchange: Exchange, key: OperationKey) -> OutgoingAnswer:
+        task = self._task_by_key.get(key.text)
+        if task is not None:
+            answer = await asyncio.shield(task)
+            if isinstance(answer.body, bytes):
+                return answer
+        reason = "this operation has run or is running; its answer is not kept"
+        return self._refuse(exchange, Unknown(STEP, "", reason, 409))
+
+    async def _perform(self, exchange: Exchange, decision: Decision) -> OutgoingAnswer:
+        if isinstance(decision, Inquire):
+            decision = await self._inquirer.settle(decision)
+        if isinstance(decision, Replay):
+            return self._forwarding.replay(decision.answer)
+        if isinstance(decision, Reject):
+            return self._refuse(exchange, decision.refusal)
+        assert isinstance(decision, Run)
+        try:
+            return await self._keep(decision.key, exchange, await self._forwarding.run(exchange))
+        except BaseException:
+            self._operations.on_in_doubt(self._clock(), decision.key)
+            raise
+
+    async def _keep(
+        self, key: OperationKey, exchange: Exchange, answer: OutgoingAnswer
+    ) -> OutgoingAnswer:
         if isinstance(answer.body, bytes):
-            if (names.OUTCOME, NotRun.tag) in answer.headers:
-                self._operations.on_not_run(self._clock(), key)
+            self._on_refused(key, answer)
             return answer
-        body = b"".join([chunk async for chunk in answer.body])
-        if len(body) <= MAX_KEPT_ANSWER_BYTES:
-            kept = KeptAnswer(answer.status, tuple(answer.headers), body)
-            self._operations.on_answer(self._clock(), key, kept)
-        return attrs.evolve(answer, body=body)
+        try:
+            start, rest = await _read_start(answer.body, time.monotonic())
+        except (CutOffError, TimeoutError) as error:
+            answer.body.close()
+            self._operations.on_in_doubt(self._clock(), key)
+            reason = f"the answer was cut off: {str(error) or type(error).__name__}"
+            return self._refuse(exchange, Unknown("body", "", reason))
+        if rest is not None:
+            self._operations.on_answer(self._clock(), key, None)
+            return attrs.evolve(answer, body=rest)
+        domains = self._forwarding.failure_domains(exchange.request.host)
+        headers = [pair for pair in answer.headers if pair[0] != "content-length"]
+        kept = KeptAnswer(answer.status, tuple(headers), start, domains)
+        self._operations.on_answer(self._clock(), key, kept)
+        return attrs.evolve(answer, headers=headers, body=start)
+
+    def _on_refused(self, key: OperationKey, answer: OutgoingAnswer) -> None:
+        if (names.OUTCOME, NotRun.tag) in answer.headers:
+            self._operations.on_not_run(self._clock(), key)
+        else:
+            self._operations.on_in_doubt(self._clock(), key)
+
+    def _refuse(self, exchange: Exchange, refusal: Refusal) -> OutgoingAnswer:
+        return self._forwarding.refuse(exchange, refusal)
+
+    @staticmethod
+    def _discard(task: asyncio.Task[OutgoingAnswer]) -> None:
+        if task.cancelled() or task.exception() is not None:
+            return
+        body = task.result().body
+        if not isinstance(body, bytes):
+            body.close()
+
+
+class StartedBody:
+    """A `ForwardedBody` whose start has been read.
+
+    Parameters
+    ----------
+    start : bytes
+        What was read.
+    chunks : async iterator of bytes
+        The rest.
+    body : ForwardedBody
+        Whose rest it is.
+    """
+
+    def __init__(
+        self, start: bytes, chunks: AsyncIterator[bytes], body: ForwardedBody | StartedBody
+    ) -> None:
+        self.deadline: float = body.deadline
+        self._start = start
+        self._chunks = chunks
+        self._body = body
+        self._started = False
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        self._started = True
+        yield self._start
+        async for chunk in self._chunks:
+            yield chunk
+
+    def ended(self) -> bool:
+        """Whether the body was read whole."""
+        return self._started and self._body.ended()
+
+    def whole(self) -> bytes | None:
+        """Return None: a started body is read to its end."""
+        return None
+
+    def on_cut_off(self, reason: str) -> None:
+        """Take the early end of the body."""
+        self._body.on_cut_off(reason)
+
+    def close(self) -> None:
+        """Free the slot and the connection; more than once does no harm."""
+        self._body.close()
+
+
+async def _read_start(
+    body: ForwardedBody | StartedBody, now: float
+) -> tuple[bytes, StartedBody | None]:
+    """Return a small body whole, or the start of a large one and what carries it on."""
+    whole = body.whole()
+    if whole is not None and len(whole) <= MAX_KEPT_ANSWER_BYTES:
+        return whole, None
+    start = b""
+    chunks = aiter(body)
+    async with asyncio.timeout(body.deadline - now):
+        async for chunk in chunks:
+            start += chunk
+            if len(start) > MAX_KEPT_ANSWER_BYTES:
+                return start, StartedBody(start, chunks, body)
+    return start, None
 
 
 def fingerprint_of(exchange: Exchange) -> bytes | None:
--- a/src/sycamorebay/transport/platform.py
+++ b/src/sycamorebay/transport/platform.py
@@ -54,6 +54,7 @@
 
     key: str
     value: bytes | None
+    lease: int = 0
 
 
 class Store(Protocol):
@@ -71,10 +72,12 @@
         """Return all keys under a prefix, without their values."""
         ...
 
-    async def swap(self, key: str, value: bytes, version: int, also: Sequence[Write] = ()) -> bool:
+    async def swap(
+        self, key: str, value: bytes, version: int, also: Sequence[Write] = (), lease: int = 0
+    ) -> bool:
         """Write if the key is at `version` still, 0 for absent; whether it was.
 
-        `also` is written in the same transaction.
+        `also` is written in the same transaction; the key goes with `lease` where one is named.
         """
         ...
 
@@ -141,10 +144,12 @@
         items = tuple(_stored(kv) for kv in reply.get("kvs") or [])
         return Listing(items, int(reply["header"]["revision"]))
 
-    async def swap(self, key: str, value: bytes, version: int, also: Sequence[Write] = ()) -> bool:
+    async def swap(
+        self, key: str, value: bytes, version: int, also: Sequence[Write] = (), lease: int = 0
+    ) -> bool:
         """Write if the key is at `version` still, 0 for absent; whether it was.
 
-        `also` is written in the same transaction.
+        `also` is written in the same transaction; the key goes with `lease` where one is named.
         """
         compare = {
             "key": _encode(key.encode()),
@@ -152,7 +157,7 @@
             "result": "EQUAL",
             "mod_revision": str(version),
         }
-        success = [_operation(write) for write in (Write(key, value), *also)]
+        success = [_operation(write) for write in (Write(key, value, lease), *also)]
         reply = await self._call("/v3/kv/txn", {"compare": [compare], "success": success})
         return bool(reply.get("succeeded", False))
 
@@ -263,7 +268,8 @@
     key = _encode(write.key.encode())
     if write.value is None:
         return {"request_delete_range": {"key": key}}
-    return {"request_put": {"key": key, "value": _encode(write.value)}}
+    value = _encode(write.value)
+    return {"request_put": {"key": key, "value": value, "lease": str(write.lease)}}
 
 
 def _encode(value: bytes) -> str:
--- a/tests/one_entry.py
+++ b/tests/one_entry.py
@@ -17,13 +17,13 @@
 from sycamorebay import log
 from sycamorebay.coordination.dispatch import Dispatcher
 from sycamorebay.coordination.invariants import Invariants
-from sycamorebay.coordination.operations import Operations
 from sycamorebay.metrics import Metrics
 from sycamorebay.settings import CallerLimits, Listen, LogSettings
 from sycamorebay.state.document import Document, load_document
 from sycamorebay.transport.forward import Forwarder
 from sycamorebay.transport.front import caller_server
 from sycamorebay.transport.upstream import Upstream, open_upstream
+from tests.support import lone_operations
 
 ROUTES = [
     {"methods": ["GET", "HEAD"], "path": "/prices", "idempotent": True, "deadline_ms": 2000},
@@ -154,7 +154,7 @@
         self.backends = backends
         self.dispatcher = Dispatcher(Random(1), invariants=Invariants(strict=True))
         self.put_in_force(self.document())
-        self.forwarder = Forwarder(self.dispatcher, Operations(), upstream, Metrics())
+        self.forwarder = Forwarder(self.dispatcher, *lone_operations(), upstream, Metrics())
         self.port = 0
 
     def document(self, domains: tuple[str, ...] = ("a", "b"), **limits: Any) -> Document:
--- a/tests/support.py
+++ b/tests/support.py
@@ -5,6 +5,7 @@
 import asyncio
 import functools
 import json
+import time
 from collections.abc import Callable, Coroutine
 from random import Random
 from typing import Any
@@ -12,7 +13,11 @@
 from bench.fleet import Shape, service
 from sycamorebay.coordination.dispatch import Dispatcher
 from sycamorebay.coordination.invariants import Invariants
+from sycamorebay.coordination.membership import Member
+from sycamorebay.coordination.operations import Operations
+from sycamorebay.settings import OperationSettings
 from sycamorebay.state.document import Document, load_document
+from sycamorebay.transport.inquire import Inquirer, NoPeers
 
 DOMAINS = ("a", "b")
 ROUTES = [
@@ -62,3 +67,16 @@
 def small_shape(entries: int = 2, **settings: Any) -> Shape:
     """Return a small fleet."""
     return Shape(entries, raw_document(), 1, {"work_ms": 5.0}, settings)
+
+
+def member(name: str = "entry-0", incarnation: int = 1, domain: str = "a") -> Member:
+    """Return an entry."""
+    return Member(name, incarnation, "127.0.0.1:7000", domain)
+
+
+def lone_operations() -> tuple[Operations, Inquirer]:
+    """Return the operations of an entry without peers, which may run every key of now."""
+    operations = Operations(OperationSettings(), member(), Invariants(strict=True))
+    now = time.time()
+    operations.range.on_confirmed(now - 100, now + 1000)
+    return operations, Inquirer(operations, member(), NoPeers())
