--- a/specs/operations.py
+++ b/specs/operations.py
@@ -10,16 +10,16 @@
 
 import sys
 import time
-from collections.abc import Iterator
-from typing import NamedTuple
+from collections.abc import Callable, Iterator
+from typing import Any, NamedTuple
 
 import attrs
 from minicheck import Protocol, check_safety
+from minicheck._core import SearchIncomplete
 
 NAMES = "ABC"
 KEY_TIME = 1
 MAX_STATES = 3_000_000
-MAX_BROKEN_STATES = 100_000
 
 # Life of an entry.
 ABSENT, LISTED, UP, DEAD = "absent", "listed", "up", "dead"
@@ -63,8 +63,10 @@
         A record that is dropped for want of room leaves a floor behind.
     margin, lag : int
         Margin of a new entry's first key time; how far its clock is behind.
-    sends, crashes, evictions : int
-        Bounds.
+    sends, crashes, evictions, attempts : int
+        Bounds; the last one is on the inquiries of each entry.
+    joins : bool
+        Whether ``C`` may join.
     """
 
     tombstones: bool = True
@@ -81,6 +83,7 @@
     crashes: int = 1
     evictions: int = 0
     attempts: int = 2
+    joins: bool = True
 
 
 class Entry(NamedTuple):
@@ -201,7 +204,7 @@
 
 def _life_steps(variant: Variant, state: State, index: int, entry: Entry) -> Iterator[Step]:
     name = NAMES[index]
-    if entry.life == ABSENT:
+    if entry.life == ABSENT and variant.joins:
         yield f"register {name}", state.with_entry(index, life=LISTED)
     if entry.life == LISTED:
         first = max(0, state.clock - variant.lag) + variant.margin if variant.joins_late else 0
@@ -309,6 +312,15 @@
         yield f"end {name}", ended
 
 
+INVARIANTS: dict[str, Callable[[dict[str, Any]], bool]] = {
+    "runs at most once": lambda s: s["runs"] <= 1,
+    "freed means not run": lambda s: not s["lied"],
+    "told not-run means not run": lambda s: (
+        not s["runs"] or not s["sends"] or any(status != NOT_RUN for _, status in s["sends"])
+    ),
+}
+
+
 def protocol(variant: Variant) -> Protocol:
     """Return the specification for the model checker."""
     return Protocol(
@@ -317,34 +329,58 @@
         fields=State._fields,
         initial=INITIAL,
         transitions=lambda state: list(steps(variant, state)),
-        invariants={
-            "runs at most once": lambda s: s["runs"] <= 1,
-            "freed means not run": lambda s: not s["lied"],
-            "told not-run means not run": lambda s: (
-                not s["runs"]
-                or not s["sends"]
-                or any(status != NOT_RUN for _, status in s["sends"])
-            ),
-        },
+        invariants=INVARIANTS,
     )
 
 
+def check(variant: Variant) -> dict[str, Any]:
+    """Check a variant over its whole bounded space."""
+    return check_safety(protocol(variant), max_states=MAX_STATES)
+
+
+def first_fault(variant: Variant) -> tuple[str, list[str]] | None:
+    """Return the invariant that breaks first and the shortest steps to it; None for none."""
+    made = protocol(variant)
+    found = False
+
+    def transitions(state: State) -> list[Step]:
+        nonlocal found
+        if found:
+            raise SearchIncomplete("a fault was found")
+        after = list(steps(variant, state))
+        found = any(not holds(one._asdict()) for _, one in after for holds in INVARIANTS.values())
+        return after
+
+    made.transitions = transitions
+    result = check_safety(made, max_states=MAX_STATES)
+    for name, outcome in result["properties"].items():
+        if outcome["holds"] is False:
+            return name, [step["label"] for step in outcome["counterexample"][1:]]
+    return None
+
+
 BROKEN_BY_NAME = {
-    "no tombstones": Variant(tombstones=False, sends=2),
-    "trust in a lease": Variant(covers_unleased=False, sends=2),
-    "the dead never ran anything": Variant(covers_dead=False, sends=2),
+    "no tombstones": Variant(tombstones=False, sends=2, crashes=0, joins=False),
+    "trust in a lease": Variant(covers_unleased=False, sends=2, crashes=0, joins=False),
+    "the dead never ran anything": Variant(covers_dead=False, sends=2, joins=False),
     "a fresh entry believes its empty memory": Variant(joins_late=False, sends=2),
     "reads from the past": Variant(synced_reads=False, sends=2),
-    "late replies count": Variant(attempts_checked=False),
-    "two inquiries at once": Variant(yield_aborts=False, sends=2),
-    "records dropped without a floor": Variant(floor=False, evictions=1, sends=2),
+    "late replies count": Variant(attempts_checked=False, crashes=0, joins=False),
+    "two inquiries at once": Variant(yield_aborts=False, sends=2, crashes=0, joins=False),
+    "records dropped without a floor": Variant(
+        floor=False, evictions=1, sends=2, crashes=0, joins=False
+    ),
     "a margin below the clocks' difference": Variant(lag=1, sends=2),
 }
 
 SOUND_BY_NAME = {
-    "two sends, a crash": Variant(sends=2),
-    "two sends, a clock behind": Variant(sends=2, margin=2, lag=1),
-    "two sends, a dropped record": Variant(sends=2, crashes=0, evictions=1),
+    "two sends, a crash": Variant(sends=2, joins=False),
+    "two sends, a join": Variant(sends=2, crashes=0),
+    "two sends, a join, a crash": Variant(sends=2),
+    "two sends, a join, a crash, a clock behind": Variant(sends=2, margin=2, lag=1),
+    "two sends, a join, a dropped record": Variant(sends=2, crashes=0, evictions=1),
+    "three sends, a crash": Variant(joins=False),
+    "three sends, a crash, a dropped record": Variant(joins=False, evictions=1),
 }
 
 
@@ -352,13 +388,13 @@
     """Check every variant and print what was found."""
     failed = 0
     for name, variant in BROKEN_BY_NAME.items():
-        result = check_safety(protocol(variant), max_states=MAX_BROKEN_STATES)
-        broken = [n for n, found in result["properties"].items() if found["holds"] is False]
-        print(f"broken: {name}: {broken or 'NOTHING FOUND'}, {result['reachable_states']} states")
-        failed += not broken
+        fault = first_fault(variant)
+        failed += fault is None
+        print(f"broken: {name}: {fault[0] if fault else 'NOTHING FOUND'}")
+        print("".join(f"    {step}\n" for step in (fault[1] if fault else [])), end="")
     for name, variant in SOUND_BY_NAME.items():
         started = time.monotonic()
-        result = check_safety(protocol(variant), max_states=MAX_STATES)
+        result = check(variant)
         holds = all(found["holds"] is True for found in result["properties"].values())
         seconds = time.monotonic() - started
         states = result["reachable_states"]
--- /dev/null
+++ b/tests/test_operations_conformance.py
@@ -0,0 +1,249 @@
+from __future__ import annotations
+
+from random import Random
+
+import testtools
+
+from specs import operations as spec
+from specs.operations import NAMES, State, Variant
+from sycamorebay.coordination.invariants import Invariants
+from sycamorebay.coordination.operations import (
+    Inquire,
+    Inquiry,
+    InquiryReply,
+    Operation,
+    Operations,
+    Reject,
+)
+from sycamorebay.coordination.ranges import EntryRange
+from sycamorebay.settings import OperationSettings
+from sycamorebay.state.operations import Phase, parse_key
+from tests.support import member
+
+START = 1_000_000.0
+TICK_S = 10.0
+KEY_TIME = START + spec.KEY_TIME * TICK_S
+WALKS = 600
+MAX_STEPS = 60
+MEMBERS = [member(f"entry-{name}") for name in NAMES]
+KINDS = {Phase.TOMBSTONE: spec.YIELDS, Phase.ASKING: spec.BUSY}
+RECORDS = {
+    Phase.TOMBSTONE: spec.TOMBSTONE,
+    Phase.ASKING: spec.ASKING,
+    Phase.RUNNING: spec.GRANTED,
+    Phase.RAN: spec.RAN,
+    Phase.IN_DOUBT: spec.RAN,
+    Phase.FORGOTTEN: spec.FORGOTTEN,
+}
+
+
+def text_at(time: float) -> str:
+    return f"{int(time * 1000):012x}7000{8:x}{0:015x}"
+
+
+KEY = parse_key(text_at(KEY_TIME))
+assert KEY is not None
+
+
+class Replay:
+    """Drives real classes along a walk through the specification."""
+
+    def __init__(self, make: type[Operations], rng: Random) -> None:
+        self._make = make
+        self._rng = rng
+        self._by_index: dict[int, Operations] = {}
+        self._attempts: dict[tuple[int, int], int] = {}
+        self._replies: dict[tuple[int, int, int, str], InquiryReply] = {}
+        self._evicted = 0
+        for index in (0, 1):
+            self._start(index)
+            self._by_index[index].range.on_confirmed(START - 100, START + 1000)
+
+    def _start(self, index: int) -> None:
+        settings = OperationSettings(clock_skew_s=2.5, max_records=1)
+        self._by_index[index] = self._make(settings, MEMBERS[index], Invariants(strict=True))
+
+    def take(self, label: str, before: State, after: State) -> bool:
+        """Take one step and return whether the classes did what the specification says."""
+        now = START + before.clock * TICK_S
+        step, *words = label.replace("give up", "give_up").split()
+        if step != "issue":
+            getattr(self, f"_{step}")(now, before, after, *words)
+        return self._agrees(after)
+
+    def _agrees(self, state: State) -> bool:
+        now = START + state.clock * TICK_S
+        for index, entry in enumerate(state.entries):
+            if entry.life not in (spec.LISTED, spec.UP):
+                continue
+            operations = self._by_index[index]
+            record = operations.records.get(KEY)
+            real = spec.NOTHING if record is None else RECORDS[record.phase]
+            if real != {spec.WRITTEN: spec.GRANTED}.get(entry.record, entry.record):
+                return False
+            if state.clock and entry.in_range != operations.range.holds(now, KEY_TIME, 900.0):
+                return False
+        return True
+
+    def _tick(self, *_: object) -> None:
+        pass
+
+    def _write(self, *_: object) -> None:
+        pass
+
+    def _arrive(self, now: float, before: State, after: State, send: str, name: str) -> None:
+        index = NAMES.index(name)
+        operations = self._by_index[index]
+        listed = [i for i, entry in enumerate(before.entries) if entry.life != spec.ABSENT]
+        operations.on_ranges(now, KEY, -1, self._ranges(listed))
+        marked, status = after.sends[int(send)]
+        decision = operations.on_operation(now, Operation(KEY.text, b"p", marked))
+        if isinstance(decision, Inquire):
+            self._attempts[index, after.entries[index].attempt] = decision.attempt
+        told = decision.refusal.tag if isinstance(decision, Reject) else ""
+        assert (told == "not-run") == (status == spec.NOT_RUN), (told, status)
+
+    def _read(self, now: float, _b: State, _a: State, name: str, members: str = "") -> None:
+        index = NAMES.index(name)
+        ranges = self._ranges([index, *(NAMES.index(one) for one in members)])
+        attempt = self._attempts[index, _b.entries[index].attempt]
+        self._by_index[index].on_ranges(now, KEY, attempt, ranges)
+
+    def _ask(
+        self, now: float, _b: State, after: State, asker: str, attempt: str, other: str
+    ) -> None:
+        here, there = NAMES.index(asker), NAMES.index(other)
+        real = self._attempts[here, int(attempt)]
+        reply = self._by_index[there].on_inquiry(now, Inquiry(KEY, real, b"p", MEMBERS[here]))
+        kind = KINDS.get(reply.phase, spec.HAS)
+        assert (there, here, int(attempt), kind) in after.replies, kind
+        self._replies[there, here, int(attempt), kind] = reply
+
+    def _reply(
+        self, now: float, _b: State, _a: State, other: str, asker: str, attempt: str, kind: str
+    ) -> None:
+        here, there = NAMES.index(asker), NAMES.index(other)
+        reply = self._replies[there, here, int(attempt), kind]
+        real = self._attempts[here, int(attempt)]
+        self._by_index[here].on_reply(now, KEY, real, MEMBERS[there], reply)
+
+    def _give_up(self, now: float, before: State, _a: State, name: str) -> None:
+        index = NAMES.index(name)
+        attempt = self._attempts[index, before.entries[index].attempt]
+        if before.entries[index].members is None:
+            self._by_index[index].on_no_ranges(now, KEY, attempt)
+        for peer in MEMBERS:
+            self._by_index[index].on_silence(now, KEY, attempt, peer)
+
+    def _register(self, _n: float, _b: State, _a: State, name: str) -> None:
+        self._start(NAMES.index(name))
+
+    def _confirm(self, now: float, _b: State, _a: State, name: str) -> None:
+        self._by_index[NAMES.index(name)].range.on_confirmed(now, START + 1000)
+
+    def _crash(self, _n: float, _b: State, _a: State, name: str) -> None:
+        del self._by_index[NAMES.index(name)]
+
+    def _evict(self, now: float, _b: State, _a: State, name: str) -> None:
+        self._evicted += 1
+        other = parse_key(text_at(KEY_TIME + self._evicted))
+        assert other is not None
+        inquiry = Inquiry(other, 1, b"", MEMBERS[0])
+        self._by_index[NAMES.index(name)].on_inquiry(now, inquiry)
+
+    def _shed(self, now: float, _b: State, _a: State, name: str) -> None:
+        self._by_index[NAMES.index(name)].on_not_run(now, KEY)
+
+    def _end(self, now: float, _b: State, _a: State, name: str) -> None:
+        operations = self._by_index[NAMES.index(name)]
+        if self._rng.random() < 0.5:
+            operations.on_answer(now, KEY, None)
+        else:
+            operations.on_in_doubt(now, KEY)
+
+    @staticmethod
+    def _ranges(members: list[int]) -> list[EntryRange]:
+        return [EntryRange(MEMBERS[i], START - 100, START + 1000) for i in members]
+
+
+def disagreement(make: type[Operations], seed: int) -> list[str] | None:
+    """Walk through the specification; return the steps to the first disagreement, or None."""
+    rng = Random(seed)
+    variant = Variant(sends=4, crashes=1, evictions=1, attempts=9)
+    state = spec.INITIAL
+    replay = Replay(make, rng)
+    taken: list[str] = []
+    for _ in range(MAX_STEPS):
+        options = list(spec.steps(variant, state))
+        if not options:
+            break
+        label, after = rng.choice(options)
+        taken.append(label)
+        try:
+            agrees = replay.take(label, state, after)
+        except AssertionError as error:
+            return [*taken, str(error)]
+        if not agrees:
+            return taken
+        state = after
+    return None
+
+
+class NoTombstones(Operations):
+    def on_inquiry(self, now: float, inquiry: Inquiry) -> InquiryReply:
+        if self.records.get(inquiry.key) is None:
+            return InquiryReply(Phase.TOMBSTONE)
+        return super().on_inquiry(now, inquiry)
+
+
+class NeverYields(Operations):
+    def on_inquiry(self, now: float, inquiry: Inquiry) -> InquiryReply:
+        record = self.records.get(inquiry.key)
+        if record is not None and record.phase == Phase.ASKING:
+            return InquiryReply(Phase.TOMBSTONE)
+        return super().on_inquiry(now, inquiry)
+
+
+class Forgetful(Operations):
+    def on_in_doubt(self, now: float, key: object) -> None:
+        self.on_not_run(now, KEY)
+
+
+class TakesAnyKey(Operations):
+    def on_operation(self, now: float, operation: Operation) -> object:  # type: ignore[override]
+        self.range.first = 0.0
+        return super().on_operation(now, operation)
+
+
+class NoFloor(Operations):
+    def on_inquiry(self, now: float, inquiry: Inquiry) -> InquiryReply:
+        reply = super().on_inquiry(now, inquiry)
+        self.records.floor = 0.0
+        return reply
+
+
+class ConformanceTest(testtools.TestCase):
+    def test_classes_do_what_the_specification_says(self):
+        for seed in range(WALKS):
+            self.assertIsNone(disagreement(Operations, seed), seed)
+
+    def test_the_walks_find_broken_classes(self):
+        for broken in (NoTombstones, NeverYields, Forgetful, TakesAnyKey, NoFloor):
+            found = [seed for seed in range(WALKS) if disagreement(broken, seed) is not None]
+            self.assertTrue(found, broken.__name__)
+
+    def test_the_walks_take_every_kind_of_step(self):
+        kinds = set()
+        variant = Variant(sends=4, evictions=1, attempts=9)
+        for seed in range(WALKS):
+            rng, state = Random(seed), spec.INITIAL
+            for _ in range(MAX_STEPS):
+                options = list(spec.steps(variant, state))
+                if not options:
+                    break
+                label, state = rng.choice(options)
+                kinds.add(label.split()[0])
+                if state.runs:
+                    kinds.add("ran")
+        wanted = "tick issue arrive read ask reply give register confirm crash evict shed end write"
+        self.assertEqual(set(), {*wanted.split(), "ran"} - kinds)
