--- a/src/sycamorebay/protocol/headers.py
+++ b/src/sycamorebay/protocol/headers.py
@@ -92,7 +92,7 @@
     if proto is None:
         kept.append((FORWARDED_PROTO, "http"))
     if host is None:
-        kept.append((FORWARDED_HOST, header(headers, "host") or ""))
+        kept.append((FORWARDED_HOST, header_value(headers, "host") or ""))
     return kept
 
 
@@ -106,17 +106,9 @@
     return kept
 
 
-def header(headers: Headers, wanted: str) -> str | None:
-    """Return the first value of a header, whose names are in lower case, or None."""
-    for name, value in headers:
-        if name == wanted:
-            return value
-    return None
-
-
 def request_id_of(headers: Headers) -> str | None:
     """Return the caller's own request id, or None where it named none that can be passed on."""
-    value = header(headers, REQUEST_ID)
+    value = header_value(headers, REQUEST_ID)
     return value if value is not None and _REQUEST_ID.match(value) else None
 
 
@@ -154,3 +146,11 @@
     if in_flight < 0 or queued < 0:
         return None
     return LoadReport(in_flight, queued, leaving)
+
+
+def header_value(headers: Headers, wanted: str) -> str | None:
+    """Return the first value of a header named in lower case, or None."""
+    for name, value in headers:
+        if name == wanted:
+            return value
+    return None
--- a/src/sycamorebay/transport/forward.py
+++ b/src/sycamorebay/transport/forward.py
@@ -10,7 +10,6 @@
 from typing import Protocol
 
 import attrs
-import xxhash
 
 from sycamorebay import log
 from sycamorebay.coordination.dispatch import Dispatcher
@@ -24,25 +23,20 @@
     Request,
     Send,
 )
-from sycamorebay.coordination.operations import (
-    KeptAnswer,
-    Operation,
-    Operations,
-    Reject,
-    Replay,
-)
+from sycamorebay.coordination.operations import KeptAnswer, Operations
 from sycamorebay.metrics import Metrics
 from sycamorebay.outcomes import NotRun, Refusal, Unknown
 from sycamorebay.protocol import headers as names
 from sycamorebay.protocol.headers import (
     Headers,
     answer_headers,
+    header_value,
     load_report,
     request_headers,
     request_id_of,
 )
-from sycamorebay.protocol.headers import header as _header
 from sycamorebay.protocol.problem import problem_body, problem_headers
+from sycamorebay.transport.operate import Operator
 from sycamorebay.transport.upstream import (
     AttemptError,
     BackendAnswer,
@@ -53,8 +47,6 @@
 )
 
 MAX_REPLAYABLE_BYTES = 65_536
-MAX_KEPT_ANSWER_BYTES = 16_384
-MAX_KEY_CHARS = 255
 
 _log = log.part("forward")
 
@@ -103,7 +95,7 @@
 
 
 @attrs.define
-class _Exchange:
+class Exchange:
     """State of one request in flight."""
 
     incoming: IncomingRequest
@@ -115,6 +107,11 @@
     backend_s: float = 0.0
     sent: bool = False
 
+    @staticmethod
+    def replay(kept: KeptAnswer) -> OutgoingAnswer:
+        """Return a kept answer as the caller gets it."""
+        return OutgoingAnswer(kept.status, list(kept.headers), kept.body)
+
 
 class ForwardedBody:
     """The body of a backend server's answer on its way to the caller.
@@ -214,13 +211,13 @@
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._dispatcher = dispatcher
-        self._operations = operations
+        self._operator = Operator(operations, self._run, self._refused, clock)
         self._upstream = upstream
         self._metrics = metrics
         self._clock = clock
         self._ids = count(1)
         self._id_prefix = uuid.uuid4().hex[:12]
-        self._by_request: dict[int, _Exchange] = {}
+        self._by_request: dict[int, Exchange] = {}
 
     @property
     def in_flight(self) -> int:
@@ -232,14 +229,14 @@
         arrived = self._clock()
         self._metrics.requests.inc()
         exchange = self._open(incoming, arrived)
-        key = _header(incoming.headers, names.IDEMPOTENCY_KEY)
+        key = header_value(incoming.headers, names.IDEMPOTENCY_KEY)
         self._by_request[exchange.request.id] = exchange
         try:
             if exchange.body is None and incoming.has_body():
                 exchange.body = await incoming.read()
             if key is None:
                 return await self._run(exchange)
-            return await self._run_operation(exchange, key)
+            return await self._operator.operate(exchange, key)
         except CallerBodyError as error:
             self._give_up(exchange)
             outcome = Unknown if exchange.sent else NotRun
@@ -259,7 +256,7 @@
         """Carry out actions that no request's own event returned, such as a timer's."""
         self._carry_out(actions)
 
-    def _open(self, incoming: IncomingRequest, arrived: float) -> _Exchange:
+    def _open(self, incoming: IncomingRequest, arrived: float) -> Exchange:
         length = incoming.content_length
         streamed = incoming.has_body() and (length is None or length > MAX_REPLAYABLE_BYTES)
         request_id = next(self._ids)
@@ -273,39 +270,12 @@
         )
         log_id = request_id_of(incoming.headers) or f"{self._id_prefix}-{request_id}"
         body = incoming.chunks() if streamed else None
-        return _Exchange(incoming, request, log_id, arrived, body)
+        return Exchange(incoming, request, log_id, arrived, body)
 
-    def _give_up(self, exchange: _Exchange) -> None:
+    def _give_up(self, exchange: Exchange) -> None:
         self._carry_out(self._dispatcher.on_caller_gone(self._clock(), exchange.request.id))
 
-    async def _run_operation(self, exchange: _Exchange, key: str) -> OutgoingAnswer:
-        fingerprint = _fingerprint(exchange)
-        first_send = _header(exchange.incoming.headers, names.ATTEMPT) == "1"
-        if len(key) > MAX_KEY_CHARS or fingerprint is None:
-            reason = "the key is too long or the body of a keyed operation is too large"
-            return self._refused(exchange, NotRun("operation", "", reason, 400))
-        operation = Operation(key, fingerprint, first_send)
-        decision = self._operations.on_operation(self._clock(), operation)
-        if isinstance(decision, Replay):
-            kept = decision.answer
-            return OutgoingAnswer(kept.status, list(kept.headers), kept.body)
-        if isinstance(decision, Reject):
-            return self._refused(exchange, decision.refusal)
-        answer = await self._run(exchange)
-        return await self._keep(key, answer)
-
-    async def _keep(self, key: str, answer: OutgoingAnswer) -> OutgoingAnswer:
-        if isinstance(answer.body, bytes):
-            if (names.OUTCOME, NotRun.tag) in answer.headers:
-                self._operations.on_not_run(self._clock(), key)
-            return answer
-        body = b"".join([chunk async for chunk in answer.body])
-        if len(body) <= MAX_KEPT_ANSWER_BYTES:
-            kept = KeptAnswer(answer.status, tuple(answer.headers), body)
-            self._operations.on_answer(self._clock(), key, kept)
-        return OutgoingAnswer(answer.status, answer.headers, body)
-
-    async def _run(self, exchange: _Exchange) -> OutgoingAnswer:
+    async def _run(self, exchange: Exchange) -> OutgoingAnswer:
         actions = self._dispatcher.on_request(self._clock(), exchange.request)
         while True:
             action = self._own(exchange, actions)
@@ -320,7 +290,7 @@
                 return answer
 
     async def _attempt(
-        self, exchange: _Exchange, send: Send
+        self, exchange: Exchange, send: Send
     ) -> tuple[OutgoingAnswer | None, list[Action]]:
         self._metrics.attempts.inc()
         started = self._clock()
@@ -348,7 +318,7 @@
         self._observe(exchange, now)
         return self._deliver(exchange, send, answer), actions
 
-    def _failed(self, exchange: _Exchange, send: Send, failure: Failure) -> list[Action]:
+    def _failed(self, exchange: Exchange, send: Send, failure: Failure) -> list[Action]:
         _log.warning(
             "attempt failed",
             request_id=exchange.log_id,
@@ -358,7 +328,7 @@
         )
         return self._dispatcher.on_failure(self._clock(), send.attempt_id, failure)
 
-    def _outgoing(self, exchange: _Exchange, send: Send) -> OutgoingRequest:
+    def _outgoing(self, exchange: Exchange, send: Send) -> OutgoingRequest:
         incoming = exchange.incoming
         return OutgoingRequest(
             address=send.backend_server.address,
@@ -370,7 +340,7 @@
             deadline=send.deadline,
         )
 
-    def _deliver(self, exchange: _Exchange, send: Send, answer: BackendAnswer) -> OutgoingAnswer:
+    def _deliver(self, exchange: Exchange, send: Send, answer: BackendAnswer) -> OutgoingAnswer:
         def on_end() -> None:
             self._carry_out(self._dispatcher.on_end(self._clock(), send.attempt_id))
 
@@ -378,11 +348,11 @@
         headers = answer_headers(answer.headers, answer.status, exchange.log_id)
         return OutgoingAnswer(answer.status, headers, body)
 
-    def _observe(self, exchange: _Exchange, now: float) -> None:
+    def _observe(self, exchange: Exchange, now: float) -> None:
         self._metrics.backend.observe(exchange.backend_s)
         self._metrics.added.observe(now - exchange.arrived - exchange.backend_s)
 
-    def _refused(self, exchange: _Exchange, refusal: Refusal) -> OutgoingAnswer:
+    def _refused(self, exchange: Exchange, refusal: Refusal) -> OutgoingAnswer:
         self._count_refusal(refusal, exchange.log_id)
         headers = problem_headers(refusal, exchange.log_id)
         return OutgoingAnswer(refusal.status, headers, problem_body(refusal, exchange.log_id))
@@ -398,13 +368,13 @@
             reason=refusal.reason,
         )
 
-    def _own(self, exchange: _Exchange, actions: list[Action]) -> Action:
+    def _own(self, exchange: Exchange, actions: list[Action]) -> Action:
         own = actions[0]
         if len(actions) > 1:
             self._carry_out(actions[1:])
         return own
 
-    async def _wait(self, exchange: _Exchange) -> Action:
+    async def _wait(self, exchange: Exchange) -> Action:
         exchange.mailbox = asyncio.get_running_loop().create_future()
         try:
             return await exchange.mailbox
@@ -420,18 +390,7 @@
 
 
 def _deadline_s(headers: Headers) -> float | None:
-    value = _header(headers, names.DEADLINE)
+    value = header_value(headers, names.DEADLINE)
     if value is None or not value.isdecimal():
         return None
     return int(value[:9]) / 1000
-
-
-def _fingerprint(exchange: _Exchange) -> bytes | None:
-    """Hash what a key stands for; None for a body that was not read whole."""
-    body = exchange.body
-    if body is not None and not isinstance(body, bytes):
-        return None
-    incoming = exchange.incoming
-    digest = xxhash.xxh3_128(f"{incoming.method} {incoming.host} {incoming.target}\n".encode())
-    digest.update(body or b"")
-    return digest.digest()
