Admit by a deadline-aware queue, bound long work by slots, take news of leaving servers

Each entry finds its share of a service by an adaptive limit; what has no room waits in a queue that knows deadlines and is refused as soon as it can no longer be served in time. Long work holds only slots dealt to the entry, so that no backend server gives more than its share to it. Dispatcher.on_leaving takes news of peers and of the list of VMs, Dispatcher.leaving gives the news first seen here.

test_a_leaving_server_gets_no_new_work sent 20 requests to one server of two slots and ended none; they now wait for room. It ends each one instead and asserts the same.

--- a/src/sycamorebay/coordination/dispatch.py
+++ b/src/sycamorebay/coordination/dispatch.py
@@ -1,52 +1,65 @@
-"""The path of one request: route, place, choose, send, then deliver, send again or refuse."""
+"""The path of one request: route, admit, choose, send, then deliver, send again or refuse."""
 
 from __future__ import annotations
 
+import heapq
+from collections.abc import Sequence
 from itertools import count
 from random import Random
 
 import attrs
 
+from sycamorebay.coordination.admit import AdmissionQueue
+from sycamorebay.coordination.assignment import EntryPosition
 from sycamorebay.coordination.choose import Chooser, TwoChoices
 from sycamorebay.coordination.invariants import Invariants
+from sycamorebay.coordination.limit import CROWDED_FACTOR
 from sycamorebay.coordination.messages import (
     Action,
     Answer,
     Cancel,
     Deliver,
+    Enqueue,
     Failure,
     Refuse,
     Request,
     Send,
 )
-from sycamorebay.coordination.retry import RetryBudget
+from sycamorebay.coordination.service import LONG, ServiceState, ServiceTable
 from sycamorebay.outcomes import NotRun, Refusal, Unknown
 from sycamorebay.state.backends import BackendState, BackendTable, LoadReport
-from sycamorebay.state.document import Document, Route, Service
+from sycamorebay.state.document import Document, Route
 
 MAX_ATTEMPTS = 3
 
 
-@attrs.define
-class _Attempt:
-    id: int
-    backend: BackendState
-    request: _Pending
-
-
-@attrs.define
+@attrs.define(eq=False)
 class _Pending:
     request: Request
-    service: Service
+    service: ServiceState
     route: Route
     deadline: float
     tried: set[str] = attrs.field(factory=set)
     attempts: int = 0
+    in_flight: dict[int, _Attempt] = attrs.field(factory=dict)
+    answered: bool = False
+
+
+@attrs.define(eq=False)
+class _Attempt:
+    id: int
+    backend: BackendState
+    pending: _Pending
+    sent_at: float
+    served: bool = False
 
 
 class Dispatcher:
     """Decides for each request of one entry.
 
+    Every event returns actions. The first is for the request of the event where it has one; the
+    others are for requests that waited.
+
     Parameters
     ----------
     rng : random.Random
@@ -64,20 +77,28 @@
         self._chooser = chooser or TwoChoices()
         self.invariants = invariants or Invariants()
         self.backends = BackendTable()
+        self.services = ServiceTable()
         self.document: Document | None = None
+        self._position = EntryPosition()
         self._by_request: dict[int, _Pending] = {}
         self._by_attempt: dict[int, _Attempt] = {}
-        self._budget_by_service: dict[str, RetryBudget] = {}
+        self._timers: list[tuple[float, int]] = []
         self._attempt_ids = count(1)
 
     def on_document(self, now: float, document: Document) -> list[Action]:
         """Put a document in force for every request that comes after."""
         self.document = document
         self.backends.replace(document)
-        self._budget_by_service = {
-            service.name: RetryBudget(service.limits.retry_ratio) for service in document.services
-        }
-        return []
+        orphans = self.services.replace(document, self.backends, self._position)
+        return [action for state in (*orphans, *self.services) for action in self._pump(now, state)]
+
+    def on_entries(self, now: float, own_id: str, entry_ids: Sequence[str]) -> list[Action]:
+        """Take the list of live entries, which share the backend servers."""
+        position = EntryPosition.among(own_id, entry_ids)
+        if position == self._position:
+            return []
+        self._position = position
+        return [] if self.document is None else self.on_document(now, self.document)
 
     def on_request(self, now: float, request: Request) -> list[Action]:
         """Take a caller's request."""
@@ -94,26 +115,29 @@
             allowed_s = min(allowed_s, request.deadline_s)
         if allowed_s <= 0:
             return [self._refuse(request.id, "deadline", service.name, "no time is left", 504)]
-        pending = _Pending(request, service, route, now + allowed_s)
+        state = self.services[service.name]
+        pending = _Pending(request, state, route, now + allowed_s)
         self._by_request[request.id] = pending
-        self._budget_by_service[service.name].on_request()
-        return [self._send(now, pending)]
+        state.retries.on_request()
+        return [self._admit(now, pending)]
 
     def on_answer(self, now: float, attempt_id: int, answer: Answer) -> list[Action]:
         """Take the head of an answer; its slot is held until `on_end`."""
         attempt = self._by_attempt.get(attempt_id)
         if attempt is None:
             return []
+        state = attempt.backend
         if answer.report is not None:
-            self.on_report(now, attempt.backend.server.id, answer.report)
-        pending = attempt.request
+            state.on_report(now, answer.report, in_answer=True)
+        pending = attempt.pending
+        self._note_crowding(attempt, answer)
         if not answer.shed:
-            self._by_request.pop(pending.request.id, None)
+            attempt.served = True
+            self._settle(pending)
             return [Deliver(pending.request.id, attempt_id)]
         self._release(attempt)
-        peer = attempt.backend.server.id
-        refusal = NotRun("backend", peer, "the backend server shed the request")
-        return [self._again(now, pending, refusal)]
+        refusal = NotRun("backend", state.server.id, "the backend server shed the request")
+        return [self._again(now, pending, refusal), *self._pump(now, pending.service)]
 
     def on_failure(self, now: float, attempt_id: int, failure: Failure) -> list[Action]:
         """Take the end of an attempt that brought no answer."""
@@ -121,93 +145,215 @@
         if attempt is None:
             return []
         self._release(attempt)
-        pending = attempt.request
-        peer = attempt.backend.server.id
+        pending = attempt.pending
+        own = self._after_failure(now, pending, attempt.backend.server.id, failure)
+        return [own, *self._pump(now, pending.service)]
+
+    def _after_failure(self, now: float, pending: _Pending, peer: str, failure: Failure) -> Action:
         if not failure.written:
-            refusal: Refusal = NotRun(failure.step, peer, failure.reason)
-            return [self._again(now, pending, refusal)]
+            return self._again(now, pending, NotRun(failure.step, peer, failure.reason))
         refusal = Unknown(failure.step, peer, failure.reason)
         if pending.route.idempotent:
-            return [self._again(now, pending, refusal)]
-        return [self._give_up(pending, refusal)]
+            return self._again(now, pending, refusal)
+        return self._give_up(pending, refusal)
 
     def on_end(self, now: float, attempt_id: int) -> list[Action]:
         """Take the end of a delivered answer, whole or cut off; frees its slot."""
         attempt = self._by_attempt.get(attempt_id)
-        if attempt is not None:
-            self._release(attempt)
-        return []
+        if attempt is None:
+            return []
+        self._release(attempt)
+        pending = attempt.pending
+        if attempt.served:
+            work = pending.service.of(pending.route.work)
+            work.queue.pace.on_end(now, now - attempt.sent_at)
+        return self._pump(now, pending.service)
 
     def on_caller_gone(self, now: float, request_id: int) -> list[Action]:
         """Take a caller's leaving; cancels what is in flight for it."""
-        self._by_request.pop(request_id, None)
-        attempts = [a for a in self._by_attempt.values() if a.request.request.id == request_id]
+        pending = self._by_request.get(request_id)
+        if pending is None:
+            pending = self._delivering(request_id)
+        if pending is None:
+            return []
+        if not pending.answered:
+            self._settle(pending)
+        attempts = list(pending.in_flight.values())
         for attempt in attempts:
             self._release(attempt)
-        return [Cancel(request_id, attempt.id) for attempt in attempts]
+        cancels: list[Action] = [Cancel(request_id, attempt.id) for attempt in attempts]
+        return [*cancels, *self._pump(now, pending.service)]
+
+    def _delivering(self, request_id: int) -> _Pending | None:
+        for attempt in self._by_attempt.values():
+            if attempt.pending.request.id == request_id:
+                return attempt.pending
+        return None
 
     def on_report(self, now: float, server_id: str, report: LoadReport) -> list[Action]:
         """Take a backend server's word on its load."""
         state = self.backends.get(server_id)
         if state is not None:
-            state.report = report
-            state.reported_at = now
-            state.leaving = report.leaving
+            state.on_report(now, report)
+        return []
+
+    def on_leaving(self, now: float, server_id: str) -> list[Action]:
+        """Take the word of a peer, or of the list of VMs, that a backend server is leaving."""
+        state = self.backends.get(server_id)
+        if state is not None:
+            state.told_left_at = now
         return []
 
+    def leaving(self, now: float) -> list[str]:
+        """Return the backend servers that told this entry that they are leaving, for its peers.
+
+        What peers told is left out, so that news does not go round for ever.
+        """
+        return [state.server.id for state in self.backends if state.left_itself(now)]
+
+    def next_timer(self) -> float | None:
+        """Return when `on_timer` wants to be called, or None."""
+        return self._timers[0][0] if self._timers else None
+
+    def on_timer(self, now: float) -> list[Action]:
+        """Refuse what waits and could no longer be served in time; send what has room now."""
+        actions: list[Action] = []
+        while self._timers and self._timers[0][0] <= now:
+            _, request_id = heapq.heappop(self._timers)
+            pending = self._by_request.get(request_id)
+            if pending is not None and self._queue_of(pending).remove(request_id):
+                actions.append(self._give_up(pending, self._overload(pending)))
+        for state in self.services:
+            actions += self._pump(now, state)
+        return actions
+
     def may_send(self, attempt_id: int) -> bool:
         """Whether an attempt's place is allowed still; asked before its first byte."""
         attempt = self._by_attempt.get(attempt_id)
         if attempt is None or self.document is None:
             return False
         server = attempt.backend.server
-        service = self.document.service_for(attempt.request.request.host)
+        service = self.document.service_for(attempt.pending.request.host)
         return service is not None and service.allows(server)
 
-    def _send(self, now: float, pending: _Pending) -> Action:
-        candidates = self._candidates(pending)
-        if not candidates:
-            reason = "no backend server in an allowed failure domain is available"
-            return self._give_up(pending, NotRun("place", pending.service.name, reason))
+    def _admit(self, now: float, pending: _Pending) -> Action:
+        usable = self._usable(now, pending)
+        if not usable:
+            return self._give_up(pending, self._no_place(pending))
+        queue = self._queue_of(pending)
+        candidates = [] if len(queue) else self._with_room(pending, usable)
+        if candidates:
+            return self._send(now, pending, candidates)
+        if not queue.admits(now, pending.deadline, pending.service.service.limits.queue_length):
+            return self._give_up(pending, self._overload(pending))
+        until = queue.latest_start(pending.deadline)
+        queue.add(pending.request.id, until)
+        heapq.heappush(self._timers, (until, pending.request.id))
+        return Enqueue(pending.request.id, until)
+
+    def _pump(self, now: float, state: ServiceState) -> list[Action]:
+        """Send what waits while there is room."""
+        actions: list[Action] = []
+        for work in (state.short, state.long):
+            while (waiting := work.queue.first()) is not None:
+                pending = self._by_request[waiting.request_id]
+                usable = self._usable(now, pending)
+                candidates = self._with_room(pending, usable)
+                if usable and not candidates:
+                    break
+                work.queue.remove(waiting.request_id)
+                if not usable:
+                    actions.append(self._give_up(pending, self._no_place(pending)))
+                elif now > waiting.until:
+                    actions.append(self._give_up(pending, self._overload(pending)))
+                else:
+                    actions.append(self._send(now, pending, candidates))
+        return actions
+
+    def _queue_of(self, pending: _Pending) -> AdmissionQueue:
+        return pending.service.of(pending.route.work).queue
+
+    @staticmethod
+    def _no_place(pending: _Pending) -> NotRun:
+        reason = "no backend server in an allowed failure domain is available"
+        return NotRun("place", pending.service.service.name, reason)
+
+    def _overload(self, pending: _Pending) -> NotRun:
+        work = pending.service.of(pending.route.work)
+        name = pending.service.service.name
+        reason = "all slots are taken for longer than the request can wait"
+        return NotRun("admit", name, reason, 503, work.queue.retry_after_s(work.in_flight))
+
+    def _usable(self, now: float, pending: _Pending) -> list[BackendState]:
+        tried = pending.tried
+        return [
+            state
+            for state in pending.service.backends
+            if not state.leaving(now) and state.server.id not in tried
+        ]
+
+    def _with_room(self, pending: _Pending, usable: list[BackendState]) -> list[BackendState]:
+        service = pending.service
+        if pending.route.work == LONG:
+            return [state for state in usable if service.has_long_slot(state)]
+        return usable if service.limit.has_room(service.short.in_flight) else []
+
+    def _send(self, now: float, pending: _Pending, candidates: list[BackendState]) -> Send:
         backend = self._chooser.choose(now, candidates, self._rng)
-        self.invariants.check(pending.service.allows(backend.server), "placement")
-        backend.in_flight += 1
+        self.invariants.check(pending.service.service.allows(backend.server), "placement")
+        attempt = _Attempt(next(self._attempt_ids), backend, pending, now)
         pending.attempts += 1
         pending.tried.add(backend.server.id)
-        attempt = _Attempt(next(self._attempt_ids), backend, pending)
+        pending.in_flight[attempt.id] = attempt
         self._by_attempt[attempt.id] = attempt
+        self._count(attempt, 1)
         return Send(pending.request.id, attempt.id, backend.server, pending.deadline)
 
-    def _candidates(self, pending: _Pending) -> list[BackendState]:
-        service = pending.service
-        return [
-            state
-            for state in self.backends.of(service)
-            if not state.leaving
-            and state.server.id not in pending.tried
-            and service.allows(state.server)
-        ]
-
     def _again(self, now: float, pending: _Pending, refusal: Refusal) -> Action:
-        may_retry = (
-            pending.attempts < MAX_ATTEMPTS
-            and now < pending.deadline
-            and pending.request.replayable
-            and bool(self._candidates(pending))
-            and self._budget_by_service[pending.service.name].take()
-        )
-        if may_retry:
-            return self._send(now, pending)
+        if pending.attempts < MAX_ATTEMPTS and now < pending.deadline:
+            candidates = self._usable(now, pending)
+            if pending.route.work == LONG:
+                candidates = self._with_room(pending, candidates)
+            if pending.request.replayable and candidates and pending.service.retries.take():
+                return self._send(now, pending, candidates)
         return self._give_up(pending, refusal)
 
-    def _give_up(self, pending: _Pending, refusal: Refusal) -> Action:
-        self._by_request.pop(pending.request.id, None)
+    def _give_up(self, pending: _Pending, refusal: Refusal) -> Refuse:
+        self._settle(pending)
         return Refuse(pending.request.id, refusal)
 
+    def _settle(self, pending: _Pending) -> None:
+        """Take the final answer of a request: there is one only."""
+        self.invariants.check(not pending.answered, "one final answer")
+        pending.answered = True
+        self._by_request.pop(pending.request.id, None)
+        self._queue_of(pending).remove(pending.request.id)
+
+    def _note_crowding(self, attempt: _Attempt, answer: Answer) -> None:
+        service = attempt.pending.service
+        if attempt.pending.route.work == LONG:
+            return
+        report = answer.report
+        crowded = answer.shed
+        if report is not None:
+            load = report.in_flight + report.queued
+            crowded = crowded or load > attempt.backend.server.slots * CROWDED_FACTOR
+        service.limit.on_answer(service.short.in_flight, crowded=crowded)
+
     def _release(self, attempt: _Attempt) -> None:
         del self._by_attempt[attempt.id]
-        attempt.backend.in_flight -= 1
-        self.invariants.check(attempt.backend.in_flight >= 0, "slots counted")
+        del attempt.pending.in_flight[attempt.id]
+        self._count(attempt, -1)
+
+    def _count(self, attempt: _Attempt, change: int) -> None:
+        backend = attempt.backend
+        work = attempt.pending.service.of(attempt.pending.route.work)
+        backend.in_flight += change
+        work.in_flight += change
+        if attempt.pending.route.work == LONG:
+            backend.long_in_flight += change
+        counted = min(backend.in_flight, backend.long_in_flight, work.in_flight)
+        self.invariants.check(counted >= 0, "slots counted")
 
     @staticmethod
     def _refuse(request_id: int, step: str, peer: str, reason: str, status: int = 503) -> Refuse:
--- a/src/sycamorebay/coordination/retry.py
+++ b/src/sycamorebay/coordination/retry.py
@@ -15,12 +15,12 @@
     """
 
     def __init__(self, ratio: float) -> None:
-        self._ratio = ratio
+        self.ratio = ratio
         self._tokens = 1.0 if ratio > 0 else 0.0
 
     def on_request(self) -> None:
         """Earn for one request."""
-        self._tokens = min(_MAX_SAVED_RETRIES, self._tokens + self._ratio)
+        self._tokens = min(_MAX_SAVED_RETRIES, self._tokens + self.ratio)
 
     def take(self) -> bool:
         """Spend one retry; False where none is left."""
--- a/src/sycamorebay/session.py
+++ b/src/sycamorebay/session.py
@@ -12,8 +12,9 @@
 import attrs
 
 from sycamorebay.coordination.dispatch import Dispatcher
-from sycamorebay.coordination.messages import Answer, Failure, Refuse, Request, Send
+from sycamorebay.coordination.messages import Answer, Enqueue, Failure, Refuse, Request, Send
 from sycamorebay.errors import Refused
+from sycamorebay.outcomes import NotRun
 from sycamorebay.state.document import BackendServer, Document, load_document
 
 
@@ -61,6 +62,9 @@
         """
         request = Request(next(self._ids), host, method, path)
         action = self._dispatcher.on_request(time.monotonic(), request)[0]
+        if isinstance(action, Enqueue):
+            self._dispatcher.on_caller_gone(time.monotonic(), request.id)
+            raise Refused(NotRun("admit", host, "all slots are taken"), request)
         if isinstance(action, Refuse):
             raise Refused(action.refusal, request)
         if not isinstance(action, Send):
--- a/src/sycamorebay/state/backends.py
+++ b/src/sycamorebay/state/backends.py
@@ -8,6 +8,8 @@
 
 from sycamorebay.state.document import BackendServer, Document, Service
 
+LEAVING_HOLD_S = 10.0
+
 
 @attrs.frozen
 class LoadReport:
@@ -28,7 +30,7 @@
     leaving: bool = False
 
 
-@attrs.define
+@attrs.define(eq=False)
 class BackendState:
     """State of one backend server as this entry sees it.
 
@@ -38,19 +40,51 @@
         Its entry in the document.
     in_flight : int
         This entry's own requests in flight there.
+    long_in_flight : int
+        Those of them that are long work.
     report : LoadReport or None
         Latest report, always stale.
     reported_at : float
         When the report came, in seconds.
-    leaving : bool
-        Whether it gets no new work.
+    own_at_report : int
+        This entry's own requests in flight when the report came.
+    left_at : float
+        When it last said itself that it is leaving, in seconds; minus infinity for never.
+    told_left_at : float
+        When a peer or the list of VMs last said so.
     """
 
     server: BackendServer
     in_flight: int = 0
+    long_in_flight: int = 0
     report: LoadReport | None = None
     reported_at: float = 0.0
-    leaving: bool = False
+    own_at_report: int = 0
+    left_at: float = float("-inf")
+    told_left_at: float = float("-inf")
+
+    def on_report(self, now: float, report: LoadReport, *, in_answer: bool = False) -> None:
+        """Take a report; one in an answer does not count the request that it answers."""
+        self.report = report
+        self.reported_at = now
+        self.own_at_report = max(0, self.in_flight - in_answer)
+        if report.leaving:
+            self.left_at = now
+
+    def leaving(self, now: float) -> bool:
+        """Whether it gets no new work.
+
+        Its own word holds until it says otherwise `LEAVING_HOLD_S` later; another's lapses then.
+        """
+        if now - self.told_left_at < LEAVING_HOLD_S:
+            return True
+        return self.left_itself(now)
+
+    def left_itself(self, now: float) -> bool:
+        """Whether it said itself that it is leaving."""
+        if now - self.left_at < LEAVING_HOLD_S:
+            return True
+        return self.report is not None and self.report.leaving
 
 
 class BackendTable:
--- a/src/sycamorebay/transport/daemon.py
+++ b/src/sycamorebay/transport/daemon.py
@@ -27,6 +27,7 @@
 from sycamorebay.transport.operators import Status, operator_app
 from sycamorebay.transport.peers import PeerNetwork
 from sycamorebay.transport.platform import Store, Stored, open_store
+from sycamorebay.transport.timing import run_timers
 from sycamorebay.transport.upstream import open_upstream
 
 PEER_PROTOCOL_VERSION = 1
@@ -90,6 +91,7 @@
                 asyncio.create_task(self._watch(store)),
                 asyncio.create_task(self._register(store)),
                 asyncio.create_task(self._beat(network)),
+                asyncio.create_task(run_timers(self._dispatcher, forwarder, self._entry_ids)),
             ]
             _log.info("started", id=settings.id, callers=str(settings.callers))
             stopping = asyncio.create_task(self._stopping.wait())
@@ -105,6 +107,9 @@
             await asyncio.gather(*background, return_exceptions=True)
         _log.info("stopped")
 
+    def _entry_ids(self) -> list[str]:
+        return [self._settings.id, *(peer.id for peer in self._membership.peers())]
+
     def _status(self) -> Status:
         revision = self._configuration.revision
         alive = self._membership.alive(time.monotonic(), self._settings.heartbeat_s)
--- /dev/null
+++ b/src/sycamorebay/transport/timing.py
@@ -0,0 +1,33 @@
+"""The task that tells the decisions that time has passed."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from sycamorebay.coordination.dispatch import Dispatcher
+from sycamorebay.transport.forward import Forwarder
+
+TICK_S = 0.01
+ENTRIES_EVERY_S = 1.0
+
+
+async def run_timers(
+    dispatcher: Dispatcher,
+    forwarder: Forwarder,
+    entry_ids: Callable[[], list[str]],
+    clock: Callable[[], float] = time.monotonic,
+) -> None:
+    """Fire the timers of `dispatcher`, and tell it of the live entries, until cancelled."""
+    next_entries = clock()
+    while True:
+        now = clock()
+        timer = dispatcher.next_timer()
+        if timer is not None and timer <= now:
+            forwarder.on_actions(dispatcher.on_timer(now))
+        if now >= next_entries:
+            ids = entry_ids()
+            forwarder.on_actions(dispatcher.on_entries(now, ids[0], ids))
+            next_entries = now + ENTRIES_EVERY_S
+        await asyncio.sleep(TICK_S)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from sycamorebay.coordination.dispatch import Dispatcher
 from sycamorebay.coordination.messages import (
     Answer,
     Cancel,
@@ -23,6 +24,14 @@
     return Request(number, "desk.test", "POST", "/bids")
 
 
+def serve(made: Dispatcher, now: float, request: Request) -> str:
+    """Send a request, answer it, and return the backend server's id."""
+    (send,) = made.on_request(now, request)
+    made.on_answer(now, send.attempt_id, Answer(200))
+    made.on_end(now, send.attempt_id)
+    return send.backend_server.id
+
+
 class DispatchTest(testtools.TestCase):
     def test_sends_to_an_allowed_server_and_delivers(self):
         made = dispatcher()
@@ -70,7 +79,7 @@
     def test_a_leaving_server_gets_no_new_work(self):
         made = dispatcher(servers=2)
         made.on_report(0.0, "desk-0", LoadReport(0, leaving=True))
-        servers = {made.on_request(0.0, price(n))[0].backend_server.id for n in range(20)}
+        servers = {serve(made, 0.0, price(n)) for n in range(20)}
         self.assertEqual({"desk-1"}, servers)
 
     def test_a_gone_caller_frees_its_slot(self):
