--- a/src/sycamorebay/coordination/dispatch.py
+++ b/src/sycamorebay/coordination/dispatch.py
@@ -31,6 +31,7 @@
 from sycamorebay.state.document import Document, Route
 
 MAX_ATTEMPTS = 3
+SERVER_ERROR_STATUS = 500
 
 
 @attrs.define(eq=False)
@@ -118,7 +119,6 @@
         state = self.services[service.name]
         pending = _Pending(request, state, route, now + allowed_s)
         self._by_request[request.id] = pending
-        state.retries.on_request()
         return [self._admit(now, pending)]
 
     def on_answer(self, now: float, attempt_id: int, answer: Answer) -> list[Action]:
@@ -132,7 +132,9 @@
         pending = attempt.pending
         self._note_crowding(attempt, answer)
         if not answer.shed:
-            attempt.served = True
+            attempt.served = answer.status < SERVER_ERROR_STATUS
+            if attempt.served:
+                pending.service.retries.on_served()
             self._settle(pending)
             return [Deliver(pending.request.id, attempt_id)]
         self._release(attempt)
--- a/src/sycamorebay/coordination/retry.py
+++ b/src/sycamorebay/coordination/retry.py
@@ -6,20 +6,23 @@
 
 
 class RetryBudget:
-    """Tokens earned by requests and spent by retries.
+    """Tokens earned by served requests and spent by retries.
+
+    While nothing is served nothing is earned, so that a total failure gets no more than the few
+    retries that were saved before it.
 
     Parameters
     ----------
     ratio : float
-        Retries earned by one request.
+        Retries earned by one served request.
     """
 
     def __init__(self, ratio: float) -> None:
         self.ratio = ratio
         self._tokens = 1.0 if ratio > 0 else 0.0
 
-    def on_request(self) -> None:
-        """Earn for one request."""
+    def on_served(self) -> None:
+        """Earn for one served request."""
         self._tokens = min(_MAX_SAVED_RETRIES, self._tokens + self.ratio)
 
     def take(self) -> bool:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -32,6 +32,17 @@
     return send.backend_server.id
 
 
+def fail(made: Dispatcher, request: Request, fault: Answer | Failure) -> int:
+    """Let every attempt of a request fail, and return how many there were."""
+    sends = 0
+    actions = made.on_request(0.0, request)
+    while isinstance(actions[0], Send):
+        sends += 1
+        event = made.on_answer if isinstance(fault, Answer) else made.on_failure
+        actions = event(0.0, actions[0].attempt_id, fault)
+    return sends
+
+
 class DispatchTest(testtools.TestCase):
     def test_sends_to_an_allowed_server_and_delivers(self):
         made = dispatcher()
@@ -76,6 +87,14 @@
             self.assertEqual("not-run", actions[0].refusal.tag)
         self.assertLessEqual(sends, 111)
 
+    def test_a_total_failure_after_good_times_is_not_amplified(self):
+        made = dispatcher(servers=20)
+        for number in range(1000):
+            serve(made, 0.0, price(number))
+        for fault in (Answer(503, shed=True), Failure("connect", False, "refused")):
+            sends = sum(fail(made, price(number), fault) for number in range(1000))
+            self.assertLessEqual(sends, 1100)
+
     def test_a_leaving_server_gets_no_new_work(self):
         made = dispatcher(servers=2)
         made.on_report(0.0, "desk-0", LoadReport(0, leaving=True))
