--- a/src/sycamorebay/coordination/assignment.py
+++ b/src/sycamorebay/coordination/assignment.py
@@ -7,25 +7,57 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import attrs
+import xxhash
 
 from sycamorebay.state.document import BackendServer
 
 
 @attrs.frozen
-class EntryPosition:
-    """Place of this entry among all entries, in the order of their names."""
+class Entry:
+    """An entry as the others see it."""
 
-    index: int = 0
-    entries: int = 1
+    id: str
+    failure_domain: str = ""
+
+
+@attrs.frozen
+class Entries:
+    """All live entries, this one among them.
+
+    Attributes
+    ----------
+    own : Entry
+        This entry.
+    by_domain : dict of str to list of Entry
+        All entries, in the order of their names.
+    """
+
+    own: Entry = attrs.field(factory=lambda: Entry(""))
+    by_domain: dict[str, list[Entry]] = attrs.field(factory=dict)
 
     @classmethod
-    def among(cls, own_id: str, entry_ids: Sequence[str]) -> EntryPosition:
-        """Return the position of `own_id` among entries, itself counted once."""
-        ids = sorted({own_id, *entry_ids})
-        return cls(ids.index(own_id), len(ids))
+    def of(cls, own: Entry, entries: Sequence[Entry]) -> Entries:
+        """Return the entries, with `own` counted once."""
+        by_id = {entry.id: entry for entry in (*entries, own)}
+        by_domain: dict[str, list[Entry]] = {}
+        for entry_id in sorted(by_id):
+            entry = by_id[entry_id]
+            by_domain.setdefault(entry.failure_domain, []).append(entry)
+        return cls(own, by_domain)
+
+    def __len__(self) -> int:
+        return max(1, sum(map(len, self.by_domain.values())))
+
+    def near(self, failure_domain: str) -> list[Entry]:
+        """Return the entries in a failure domain, or all where it has none."""
+        found = self.by_domain.get(failure_domain)
+        if found:
+            return found
+        everyone = [entry for entries in self.by_domain.values() for entry in entries]
+        return sorted(everyone, key=lambda entry: entry.id) or [self.own]
 
 
 def long_slots(server: BackendServer, long_share: float) -> int:
@@ -34,28 +66,44 @@
 
 
 def assigned_slots(
-    slots_by_id: dict[str, int], position: EntryPosition, *, at_least_one: bool = False
+    servers: Sequence[BackendServer],
+    entries: Entries,
+    slots_of: Callable[[BackendServer], int],
+    *,
+    at_least_one: bool = False,
 ) -> Counter[str]:
     """Return how many slots of each server are this entry's.
 
-    Slots are dealt in turn: the first slot of every server, then the second ones. The entry's
-    slots are thus on as many servers as can be.
+    The slots of a failure domain are dealt in turn to the entries in it: the first slot of every
+    server, then the second ones. The entry's slots are thus on as many servers as can be.
 
     Parameters
     ----------
-    slots_by_id : dict of str to int
-        Slots to deal, by the server's id.
-    position : EntryPosition
+    servers : sequence of BackendServer
         Whose slots.
+    entries : Entries
+        Who gets them.
+    slots_of : callable
+        Slots of one server that are dealt.
     at_least_one : bool
         Whether an entry that gets none takes one all the same.
     """
-    ids = sorted(slots_by_id)
-    most = max(slots_by_id.values(), default=0)
-    dealt = [
-        server_id for turn in range(most) for server_id in ids if slots_by_id[server_id] > turn
-    ]
-    own = Counter(dealt[position.index :: position.entries])
+    own: Counter[str] = Counter()
+    dealt: list[str] = []
+    for failure_domain in sorted({server.failure_domain for server in servers}):
+        hand = _in_turn([s for s in servers if s.failure_domain == failure_domain], slots_of)
+        near = entries.near(failure_domain)
+        dealt += hand
+        if entries.own in near:
+            own.update(hand[near.index(entries.own) :: len(near)])
     if at_least_one and not own and dealt:
-        own[dealt[position.index % len(dealt)]] = 1
+        own[dealt[xxhash.xxh32_intdigest(entries.own.id.encode()) % len(dealt)]] = 1
     return own
+
+
+def _in_turn(
+    servers: Sequence[BackendServer], slots_of: Callable[[BackendServer], int]
+) -> list[str]:
+    ordered = sorted(servers, key=lambda server: server.id)
+    turns = max(slots_of(server) for server in ordered)
+    return [s.id for turn in range(turns) for s in ordered if slots_of(s) > turn]
--- a/src/sycamorebay/coordination/dispatch.py
+++ b/src/sycamorebay/coordination/dispatch.py
@@ -10,8 +10,8 @@
 import attrs
 
 from sycamorebay.coordination.admit import AdmissionQueue
-from sycamorebay.coordination.assignment import EntryPosition
-from sycamorebay.coordination.choose import Chooser, TwoChoices
+from sycamorebay.coordination.assignment import Entries, Entry
+from sycamorebay.coordination.choose import Chooser, OwnSlotsFirst
 from sycamorebay.coordination.invariants import Invariants
 from sycamorebay.coordination.limit import CROWDED_FACTOR
 from sycamorebay.coordination.messages import (
@@ -75,12 +75,12 @@
         self, rng: Random, chooser: Chooser | None = None, invariants: Invariants | None = None
     ) -> None:
         self._rng = rng
-        self._chooser = chooser or TwoChoices()
+        self._chooser = chooser or OwnSlotsFirst()
         self.invariants = invariants or Invariants()
         self.backends = BackendTable()
         self.services = ServiceTable()
         self.document: Document | None = None
-        self._position = EntryPosition()
+        self._entries = Entries()
         self._by_request: dict[int, _Pending] = {}
         self._by_attempt: dict[int, _Attempt] = {}
         self._timers: list[tuple[float, int]] = []
@@ -90,15 +90,15 @@
         """Put a document in force for every request that comes after."""
         self.document = document
         self.backends.replace(document)
-        orphans = self.services.replace(document, self.backends, self._position)
+        orphans = self.services.replace(document, self.backends, self._entries)
         return [action for state in (*orphans, *self.services) for action in self._pump(now, state)]
 
-    def on_entries(self, now: float, own_id: str, entry_ids: Sequence[str]) -> list[Action]:
+    def on_entries(self, now: float, own: Entry, entries: Sequence[Entry]) -> list[Action]:
         """Take the list of live entries, which share the backend servers."""
-        position = EntryPosition.among(own_id, entry_ids)
-        if position == self._position:
+        taken = Entries.of(own, entries)
+        if taken == self._entries:
             return []
-        self._position = position
+        self._entries = taken
         return [] if self.document is None else self.on_document(now, self.document)
 
     def on_request(self, now: float, request: Request) -> list[Action]:
@@ -132,6 +132,8 @@
         pending = attempt.pending
         self._note_crowding(attempt, answer)
         if not answer.shed:
+            if pending.route.work != LONG:
+                state.on_answer_time(now - attempt.sent_at)
             attempt.served = answer.status < SERVER_ERROR_STATUS
             if attempt.served:
                 pending.service.retries.on_served()
--- a/src/sycamorebay/coordination/limit.py
+++ b/src/sycamorebay/coordination/limit.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from typing import Protocol
 
 CROWDED_FACTOR = 1.5
-_SMOOTHING = 0.1
-_CROWDED_SHARE = 0.3
+_SMOOTHING = 0.05
+_CROWDED_SHARE = 0.4
 _STEP_DOWN = 0.5
-_MIN_LIMIT = 1.0
 
 
 class Limit(Protocol):
@@ -36,29 +36,32 @@
 
     No entry knows what the others send. Each raises its limit step by step while the limit
     binds and backend servers are not crowded, and lowers it while more than a share of the
-    answers says that they are. All entries hear the same word, so that their limits come to
-    about the same.
+    answers says that they are, but never below its even share of the slots. All entries hear
+    the same word, so that their limits come to about the same.
 
     Parameters
     ----------
     slots : int
         Slots of the service: the first limit, and with `CROWDED_FACTOR` the highest.
+    entries : int
+        Entries that share them.
     """
 
-    def __init__(self, slots: int) -> None:
+    def __init__(self, slots: int, entries: int = 1) -> None:
         self._limit = float(max(1, slots))
-        self._highest = max(1.0, slots * CROWDED_FACTOR)
         self._crowded = 0.0
+        self.resize(slots, entries)
 
     @property
     def limit(self) -> float:
         """Requests that may be in flight."""
         return self._limit
 
-    def resize(self, slots: int) -> None:
-        """Take a new number of slots."""
+    def resize(self, slots: int, entries: int) -> None:
+        """Take a new number of slots or of entries."""
         self._highest = max(1.0, slots * CROWDED_FACTOR)
-        self._limit = min(self._limit, self._highest)
+        self._lowest = max(1.0, math.ceil(slots / entries))
+        self._limit = min(max(self._limit, self._lowest), self._highest)
 
     def has_room(self, in_flight: int) -> bool:
         """Whether one more may be sent."""
@@ -69,6 +72,6 @@
         self._crowded += _SMOOTHING * (crowded - self._crowded)
         if self._crowded > _CROWDED_SHARE:
             lowered = min(self._limit, in_flight + 1.0) - _STEP_DOWN
-            self._limit = max(_MIN_LIMIT, lowered)
+            self._limit = max(self._lowest, lowered)
         elif in_flight >= int(self._limit):
             self._limit = min(self._highest, self._limit + 1.0 / self._limit)
--- a/src/sycamorebay/coordination/service.py
+++ b/src/sycamorebay/coordination/service.py
@@ -8,7 +8,7 @@
 import attrs
 
 from sycamorebay.coordination.admit import AdmissionQueue
-from sycamorebay.coordination.assignment import EntryPosition, assigned_slots, long_slots
+from sycamorebay.coordination.assignment import Entries, assigned_slots, long_slots
 from sycamorebay.coordination.limit import AdaptiveLimit
 from sycamorebay.coordination.retry import RetryBudget
 from sycamorebay.state.backends import BackendState, BackendTable
@@ -51,17 +51,20 @@
         self.long = WorkState()
         self.own_long_slots: Counter[str] = Counter()
 
-    def replace(
-        self, service: Service, backends: list[BackendState], position: EntryPosition
-    ) -> None:
+    def replace(self, service: Service, backends: list[BackendState], entries: Entries) -> None:
         """Take over a new revision or a new list of entries."""
         self.service = service
         self.backends = [state for state in backends if service.allows(state.server)]
         self.retries.ratio = service.limits.retry_ratio
-        self.limit.resize(self._slots(service))
+        self.limit.resize(self._slots(service), len(entries))
         share = service.limits.long_share
-        slots_by_id = {s.server.id: long_slots(s.server, share) for s in self.backends}
-        self.own_long_slots = assigned_slots(slots_by_id, position, at_least_one=True)
+        servers = [state.server for state in self.backends]
+        own_slots = assigned_slots(servers, entries, lambda server: server.slots)
+        for state in self.backends:
+            state.own_slots = own_slots[state.server.id]
+        self.own_long_slots = assigned_slots(
+            servers, entries, lambda server: long_slots(server, share), at_least_one=True
+        )
 
     @staticmethod
     def _slots(service: Service) -> int:
@@ -83,7 +86,7 @@
         self._by_name: dict[str, ServiceState] = {}
 
     def replace(
-        self, document: Document, backends: BackendTable, position: EntryPosition
+        self, document: Document, backends: BackendTable, entries: Entries
     ) -> list[ServiceState]:
         """Take over a new document or a new list of entries.
 
@@ -96,7 +99,7 @@
         self._by_name = {}
         for service in document.services:
             state = known.get(service.name) or ServiceState(service)
-            state.replace(service, backends.of(service), position)
+            state.replace(service, backends.of(service), entries)
             self._by_name[service.name] = state
         orphans = [state for name, state in known.items() if name not in self._by_name]
         for state in orphans:
--- a/src/sycamorebay/settings.py
+++ b/src/sycamorebay/settings.py
@@ -10,6 +10,7 @@
 import attrs
 import cattrs
 
+from sycamorebay.coordination.choose import DEFAULT_CHOOSER
 from sycamorebay.errors import SettingsError
 from sycamorebay.state.faults import Fault, fault_at, schema_faults
 
@@ -89,6 +90,7 @@
     environment: str = "production"
     secret_file: str = ""
     heartbeat_s: float = 1.0
+    chooser: str = DEFAULT_CHOOSER
     stop: StopSettings = attrs.field(factory=StopSettings)
     log: LogSettings = attrs.field(factory=LogSettings)
 
--- a/src/sycamorebay/state/backends.py
+++ b/src/sycamorebay/state/backends.py
@@ -9,6 +9,7 @@
 from sycamorebay.state.document import BackendServer, Document, Service
 
 LEAVING_HOLD_S = 10.0
+_SMOOTHING = 0.1
 
 
 @attrs.frozen
@@ -46,8 +47,12 @@
         Latest report, always stale.
     reported_at : float
         When the report came, in seconds.
-    own_at_report : int
-        This entry's own requests in flight when the report came.
+    own_at_report, others_at_report : int
+        This entry's own requests in flight when the report came, and the rest of the report.
+    own_slots : int
+        Slots dealt to this entry.
+    answer_s : float
+        Smoothed time of an answer to short work, in seconds; 0 for none yet.
     left_at : float
         When it last said itself that it is leaving, in seconds; minus infinity for never.
     told_left_at : float
@@ -60,6 +65,9 @@
     report: LoadReport | None = None
     reported_at: float = 0.0
     own_at_report: int = 0
+    others_at_report: int = 0
+    own_slots: int = 0
+    answer_s: float = 0.0
     left_at: float = float("-inf")
     told_left_at: float = float("-inf")
 
@@ -68,9 +76,16 @@
         self.report = report
         self.reported_at = now
         self.own_at_report = max(0, self.in_flight - in_answer)
+        self.others_at_report = max(0, report.in_flight + report.queued - self.own_at_report)
         if report.leaving:
             self.left_at = now
 
+    def on_answer_time(self, seconds: float) -> None:
+        """Take the time of an answer to short work."""
+        if self.answer_s == 0.0:
+            self.answer_s = seconds
+        self.answer_s += _SMOOTHING * (seconds - self.answer_s)
+
     def leaving(self, now: float) -> bool:
         """Whether it gets no new work.
 
--- a/src/sycamorebay/transport/daemon.py
+++ b/src/sycamorebay/transport/daemon.py
@@ -12,6 +12,8 @@
 import attrs
 
 from sycamorebay import log
+from sycamorebay.coordination.assignment import Entry
+from sycamorebay.coordination.choose import CHOOSERS_BY_NAME
 from sycamorebay.coordination.configuration import Configuration
 from sycamorebay.coordination.dispatch import Dispatcher
 from sycamorebay.coordination.membership import Member, Membership
@@ -58,7 +60,7 @@
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
         self._metrics = Metrics()
-        self._dispatcher = Dispatcher(random.Random())
+        self._dispatcher = Dispatcher(random.Random(), CHOOSERS_BY_NAME[settings.chooser]())
         self._configuration = Configuration(self._dispatcher.invariants)
         own = Member(settings.id, time.time_ns(), str(settings.peers), settings.failure_domain)
         self._membership = Membership(own)
@@ -91,7 +93,7 @@
                 asyncio.create_task(self._watch(store)),
                 asyncio.create_task(self._register(store)),
                 asyncio.create_task(self._beat(network)),
-                asyncio.create_task(run_timers(self._dispatcher, forwarder, self._entry_ids)),
+                asyncio.create_task(run_timers(self._dispatcher, forwarder, self._entries)),
             ]
             _log.info("started", id=settings.id, callers=str(settings.callers))
             stopping = asyncio.create_task(self._stopping.wait())
@@ -107,8 +109,9 @@
             await asyncio.gather(*background, return_exceptions=True)
         _log.info("stopped")
 
-    def _entry_ids(self) -> list[str]:
-        return [self._settings.id, *(peer.id for peer in self._membership.peers())]
+    def _entries(self) -> list[Entry]:
+        members = [self._membership.own, *self._membership.peers()]
+        return [Entry(member.id, member.failure_domain) for member in members]
 
     def _status(self) -> Status:
         revision = self._configuration.revision
