--- a/standins/backend.py
+++ b/standins/backend.py
@@ -49,6 +49,10 @@
         Report no load whatever it is.
     cold_s : float
         Seconds after the start in which work takes ten times as long.
+    jitter : float
+        Largest share by which the time of work varies.
+    delay_ms : float
+        One-way delay of the network in milliseconds.
     """
 
     work_ms: float = 5.0
@@ -62,6 +66,8 @@
     reports: bool = True
     lie: bool = False
     cold_s: float = 0.0
+    jitter: float = 0.5
+    delay_ms: float = 0.0
 
 
 class Backend:
@@ -89,9 +95,12 @@
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Serve one request."""
         behaviour = self.behaviour
-        self.counts["taken"] += 1
+        if behaviour.delay_ms:
+            await asyncio.sleep(behaviour.delay_ms * 2 / 1000)
         if request.path == "/load":
+            self.counts["probes"] += 1
             return web.Response(text="ok", headers=self._headers())
+        self.counts["taken"] += 1
         while behaviour.frozen:
             await asyncio.sleep(0.05)
             behaviour = self.behaviour
@@ -133,7 +142,12 @@
         work_ms = float(request.query.get("work_ms", self.behaviour.work_ms))
         cold = time.monotonic() - self._started < self.behaviour.cold_s
         factor = self.behaviour.slow * (10.0 if cold else 1.0)
-        return work_ms * factor * self._rng.uniform(0.5, 1.5) / 1000
+        return (
+            work_ms
+            * factor
+            * self._rng.uniform(1 - self.behaviour.jitter, 1 + self.behaviour.jitter)
+            / 1000
+        )
 
     async def _answer(self, request: web.Request, body: bytes) -> web.StreamResponse:
         size = int(request.query.get("bytes", "0"))
