--- a/src/sycamorebay/coordination/dispatch.py
+++ b/src/sycamorebay/coordination/dispatch.py
@@ -25,13 +25,17 @@
     Request,
     Send,
 )
+from sycamorebay.coordination.probe import Prober
 from sycamorebay.coordination.service import LONG, ServiceState, ServiceTable
 from sycamorebay.outcomes import NotRun, Refusal, Unknown
 from sycamorebay.state.backends import BackendState, BackendTable, LoadReport
-from sycamorebay.state.document import Document, Route
+from sycamorebay.state.document import BackendServer, Document, Route
 
 MAX_ATTEMPTS = 3
 SERVER_ERROR_STATUS = 500
+PLACE_STEP = "place"
+HEALTH_CHECK_S = 0.1
+_PAUSED_CHECKS = 5
 
 
 @attrs.define(eq=False)
@@ -52,8 +56,14 @@
     backend: BackendState
     pending: _Pending
     sent_at: float
+    answered: bool = False
     served: bool = False
 
+    @property
+    def is_short(self) -> bool:
+        """Whether it is short work."""
+        return self.pending.route.work != LONG
+
 
 class Dispatcher:
     """Decides for each request of one entry.
@@ -85,12 +95,16 @@
         self._by_attempt: dict[int, _Attempt] = {}
         self._timers: list[tuple[float, int]] = []
         self._attempt_ids = count(1)
+        self._checked_at = 0.0
+        self.prober = Prober(self.invariants)
 
     def on_document(self, now: float, document: Document) -> list[Action]:
         """Put a document in force for every request that comes after."""
         self.document = document
-        self.backends.replace(document)
+        self.backends.replace(now, document)
         orphans = self.services.replace(document, self.backends, self._entries)
+        placed = [state for service in self.services for state in service.backends]
+        self.prober.on_document(now, document.measuring, placed)
         return [action for state in (*orphans, *self.services) for action in self._pump(now, state)]
 
     def on_entries(self, now: float, own: Entry, entries: Sequence[Entry]) -> list[Action]:
@@ -131,12 +145,8 @@
             state.on_report(now, answer.report, in_answer=True)
         pending = attempt.pending
         self._note_crowding(attempt, answer)
+        self._judge(now, attempt, answer)
         if not answer.shed:
-            if pending.route.work != LONG:
-                state.on_answer_time(now - attempt.sent_at)
-            attempt.served = answer.status < SERVER_ERROR_STATUS
-            if attempt.served:
-                pending.service.retries.on_served()
             self._settle(pending)
             return [Deliver(pending.request.id, attempt_id)]
         self._release(attempt)
@@ -150,6 +160,8 @@
             return []
         self._release(attempt)
         pending = attempt.pending
+        if failure.step != PLACE_STEP:
+            pending.service.on_bad(now, attempt.backend)
         own = self._after_failure(now, pending, attempt.backend.server.id, failure)
         return [own, *self._pump(now, pending.service)]
 
@@ -201,11 +213,28 @@
             state.on_report(now, report)
         return []
 
+    def on_probe_answer(
+        self, now: float, server_id: str, report: LoadReport | None
+    ) -> list[Action]:
+        """Take the answer to a probe."""
+        self.prober.on_done(server_id)
+        return [] if report is None else self.on_report(now, server_id, report)
+
+    def on_probe_failure(self, now: float, server_id: str) -> list[Action]:
+        """Take a probe that brought no answer."""
+        self.prober.on_done(server_id)
+        return []
+
+    def may_probe(self, server: BackendServer) -> bool:
+        """Whether a backend server is in the document still; asked before the first byte."""
+        state = self.backends.get(server.id)
+        return state is not None and state.server.address == server.address
+
     def on_leaving(self, now: float, server_id: str) -> list[Action]:
         """Take the word of a peer, or of the list of VMs, that a backend server is leaving."""
         state = self.backends.get(server_id)
         if state is not None:
-            state.told_left_at = now
+            state.on_told_leaving(now)
         return []
 
     def leaving(self, now: float) -> list[str]:
@@ -217,10 +246,16 @@
 
     def next_timer(self) -> float | None:
         """Return when `on_timer` wants to be called, or None."""
-        return self._timers[0][0] if self._timers else None
+        first = self._timers[0][0] if self._timers else None
+        if not self._by_attempt:
+            return first
+        check = self._checked_at + HEALTH_CHECK_S
+        return check if first is None else min(first, check)
 
     def on_timer(self, now: float) -> list[Action]:
         """Refuse what waits and could no longer be served in time; send what has room now."""
+        if now >= self._checked_at + HEALTH_CHECK_S:
+            self._check_overdue(now)
         actions: list[Action] = []
         while self._timers and self._timers[0][0] <= now:
             _, request_id = heapq.heappop(self._timers)
@@ -280,7 +315,7 @@
     @staticmethod
     def _no_place(pending: _Pending) -> NotRun:
         reason = "no backend server in an allowed failure domain is available"
-        return NotRun("place", pending.service.service.name, reason)
+        return NotRun(PLACE_STEP, pending.service.service.name, reason)
 
     def _overload(self, pending: _Pending) -> NotRun:
         work = pending.service.of(pending.route.work)
@@ -289,11 +324,20 @@
         return NotRun("admit", name, reason, 503, work.queue.retry_after_s(work.in_flight))
 
     def _usable(self, now: float, pending: _Pending) -> list[BackendState]:
-        tried = pending.tried
+        rng = self._rng
+        backends = pending.service.backends
+        usable = [s for s in backends if not s.restricted or s.takes_work(now, rng)]
+        if pending.tried:
+            usable = [s for s in usable if s.server.id not in pending.tried]
+        return usable or self._last_resort(now, pending)
+
+    @staticmethod
+    def _last_resort(now: float, pending: _Pending) -> list[BackendState]:
+        """Return servers that do badly, for a request that has no other left."""
         return [
             state
             for state in pending.service.backends
-            if not state.leaving(now) and state.server.id not in tried
+            if not state.leaving(now) and state.server.id not in pending.tried
         ]
 
     def _with_room(self, pending: _Pending, usable: list[BackendState]) -> list[BackendState]:
@@ -335,7 +379,7 @@
 
     def _note_crowding(self, attempt: _Attempt, answer: Answer) -> None:
         service = attempt.pending.service
-        if attempt.pending.route.work == LONG:
+        if not attempt.is_short:
             return
         report = answer.report
         crowded = answer.shed
@@ -344,6 +388,42 @@
             crowded = crowded or load > attempt.backend.server.slots * CROWDED_FACTOR
         service.limit.on_answer(service.short.in_flight, crowded=crowded)
 
+    def _judge(self, now: float, attempt: _Attempt, answer: Answer) -> None:
+        """Learn from an answer how its backend server does."""
+        attempt.answered = True
+        service = attempt.pending.service
+        if answer.shed:
+            if _sheds_without_cause(attempt.backend, answer):
+                service.on_bad(now, attempt.backend)
+            return
+        if answer.status >= SERVER_ERROR_STATUS:
+            service.on_bad(now, attempt.backend)
+            return
+        attempt.served = True
+        service.retries.on_served()
+        if attempt.is_short:
+            seconds = now - attempt.sent_at
+            overdue = seconds > service.outliers.times.overdue_s()
+            service.outliers.times.on_answer(seconds)
+            attempt.backend.on_answer_time(seconds)
+            if overdue:
+                service.on_overdue(now, attempt.backend)
+                return
+        service.outliers.on_success(now, attempt.backend)
+
+    def _check_overdue(self, now: float) -> None:
+        """Judge backend servers by requests that wait far too long for their answers."""
+        was_paused = now - self._checked_at > HEALTH_CHECK_S * _PAUSED_CHECKS
+        self._checked_at = now
+        if was_paused:
+            return
+        for attempt in self._by_attempt.values():
+            if attempt.answered or not attempt.is_short:
+                continue
+            service = attempt.pending.service
+            if now - attempt.sent_at > service.outliers.times.overdue_s():
+                service.on_overdue(now, attempt.backend)
+
     def _release(self, attempt: _Attempt) -> None:
         del self._by_attempt[attempt.id]
         del attempt.pending.in_flight[attempt.id]
@@ -362,3 +442,10 @@
     @staticmethod
     def _refuse(request_id: int, step: str, peer: str, reason: str, status: int = 503) -> Refuse:
         return Refuse(request_id, NotRun(step, peer, reason, status))
+
+
+def _sheds_without_cause(state: BackendState, answer: Answer) -> bool:
+    report = answer.report
+    if report is None or report.leaving:
+        return False
+    return report.in_flight + report.queued < state.server.slots
--- a/src/sycamorebay/coordination/service.py
+++ b/src/sycamorebay/coordination/service.py
@@ -10,6 +10,7 @@
 from sycamorebay.coordination.admit import AdmissionQueue
 from sycamorebay.coordination.assignment import Entries, assigned_slots, long_slots
 from sycamorebay.coordination.limit import AdaptiveLimit
+from sycamorebay.coordination.outliers import OutlierJudge
 from sycamorebay.coordination.retry import RetryBudget
 from sycamorebay.state.backends import BackendState, BackendTable
 from sycamorebay.state.document import Document, Service
@@ -50,6 +51,7 @@
         self.short = WorkState()
         self.long = WorkState()
         self.own_long_slots: Counter[str] = Counter()
+        self.outliers = OutlierJudge()
 
     def replace(self, service: Service, backends: list[BackendState], entries: Entries) -> None:
         """Take over a new revision or a new list of entries."""
@@ -74,6 +76,15 @@
         """Return the state of a class of work."""
         return self.long if work == LONG else self.short
 
+    def on_bad(self, now: float, state: BackendState) -> None:
+        """Take a request that a backend server failed."""
+        share = self.service.limits.eject_share
+        self.outliers.on_failure(now, state, self.backends, share)
+
+    def on_overdue(self, now: float, state: BackendState) -> None:
+        """Take a request that waits for its answer far longer than usual."""
+        self.outliers.eject(now, state, self.backends, self.service.limits.eject_share)
+
     def has_long_slot(self, state: BackendState) -> bool:
         """Whether this entry may send one more long request to a backend server."""
         return state.long_in_flight < self.own_long_slots[state.server.id]
--- a/src/sycamorebay/state/backends.py
+++ b/src/sycamorebay/state/backends.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from random import Random
 
 import attrs
 
 from sycamorebay.state.document import BackendServer, Document, Service
+from sycamorebay.state.health import Health
 
 LEAVING_HOLD_S = 10.0
 _SMOOTHING = 0.1
@@ -51,6 +53,10 @@
         This entry's own requests in flight when the report came, and the rest of the report.
     own_slots : int
         Slots dealt to this entry.
+    health : Health
+        Failures, ejection and return.
+    restricted : bool
+        Whether `takes_work` has to be asked.
     answer_s : float
         Smoothed time of an answer to short work, in seconds; 0 for none yet.
     left_at : float
@@ -68,6 +74,8 @@
     others_at_report: int = 0
     own_slots: int = 0
     answer_s: float = 0.0
+    health: Health = attrs.field(factory=Health)
+    restricted: bool = False
     left_at: float = float("-inf")
     told_left_at: float = float("-inf")
 
@@ -79,6 +87,25 @@
         self.others_at_report = max(0, report.in_flight + report.queued - self.own_at_report)
         if report.leaving:
             self.left_at = now
+            self.restricted = True
+
+    def on_told_leaving(self, now: float) -> None:
+        """Take another's word that it is leaving."""
+        self.told_left_at = now
+        self.restricted = True
+
+    def takes_work(self, now: float, rng: Random) -> bool:
+        """Whether it is a candidate for new work now."""
+        health = self.health
+        if self.leaving(now) or health.is_ejected(now):
+            return False
+        if health.on_trial:
+            return self.in_flight == 0
+        share = health.share(now)
+        if share < 1.0:
+            return rng.random() < share
+        self.restricted = False
+        return True
 
     def on_answer_time(self, seconds: float) -> None:
         """Take the time of an answer to short work."""
@@ -109,21 +136,28 @@
         self._by_id: dict[str, BackendState] = {}
         self._by_service: dict[str, list[BackendState]] = {}
 
-    def replace(self, document: Document) -> None:
-        """Take over a new document; what is known of a server that stays is kept."""
+    def replace(self, now: float, document: Document) -> None:
+        """Take over a new document.
+
+        What is known of a server that stays is kept; a server that comes later starts slowly.
+        """
         known = self._by_id
         self._by_id = {}
         self._by_service = {}
         for service in document.services:
-            states = [self._carry_over(known, server) for server in service.backend_servers]
+            servers = service.backend_servers
+            states = [self._carry_over(now, known, server) for server in servers]
             self._by_service[service.name] = states
             self._by_id.update((state.server.id, state) for state in states)
 
     @staticmethod
-    def _carry_over(known: dict[str, BackendState], server: BackendServer) -> BackendState:
+    def _carry_over(
+        now: float, known: dict[str, BackendState], server: BackendServer
+    ) -> BackendState:
         state = known.get(server.id)
         if state is None or state.server.address != server.address:
-            return BackendState(server)
+            ramp_from = now if known else float("-inf")
+            return BackendState(server, health=Health(ramp_from=ramp_from), restricted=bool(known))
         state.server = server
         return state
 
--- a/src/sycamorebay/transport/daemon.py
+++ b/src/sycamorebay/transport/daemon.py
@@ -29,6 +29,7 @@
 from sycamorebay.transport.operators import Status, operator_app
 from sycamorebay.transport.peers import PeerNetwork
 from sycamorebay.transport.platform import Store, Stored, open_store
+from sycamorebay.transport.probing import run_prober
 from sycamorebay.transport.timing import run_timers
 from sycamorebay.transport.upstream import open_upstream
 
@@ -93,6 +94,7 @@
                 asyncio.create_task(self._watch(store)),
                 asyncio.create_task(self._register(store)),
                 asyncio.create_task(self._beat(network)),
+                asyncio.create_task(run_prober(self._dispatcher, upstream, self._metrics)),
                 asyncio.create_task(run_timers(self._dispatcher, forwarder, self._entries)),
             ]
             _log.info("started", id=settings.id, callers=str(settings.callers))
