--- a/src/sycamorebay/settings.py
+++ b/src/sycamorebay/settings.py
@@ -10,6 +10,7 @@
 import attrs
 import cattrs
 
+from sycamorebay.coordination.choose import DEFAULT_CHOOSER
 from sycamorebay.errors import SettingsError
 from sycamorebay.state.faults import Fault, fault_at, schema_faults
 
@@ -162,6 +163,7 @@
     secret_file: str = ""
     heartbeat_s: float = 1.0
     freshness: FreshnessSettings = attrs.field(factory=FreshnessSettings)
+    chooser: str = DEFAULT_CHOOSER
     stop: StopSettings = attrs.field(factory=StopSettings)
     limits: CallerLimits = attrs.field(factory=CallerLimits)
     log: LogSettings = attrs.field(factory=LogSettings)
--- a/src/sycamorebay/transport/daemon.py
+++ b/src/sycamorebay/transport/daemon.py
@@ -11,6 +11,8 @@
 import uvicorn
 
 from sycamorebay import log
+from sycamorebay.coordination.assignment import Entry
+from sycamorebay.coordination.choose import CHOOSERS_BY_NAME
 from sycamorebay.coordination.configuration import Configuration
 from sycamorebay.coordination.dispatch import Dispatcher
 from sycamorebay.coordination.freshness import Freshness
@@ -30,8 +32,10 @@
 from sycamorebay.transport.peer_messages import PeerMessages
 from sycamorebay.transport.peers import PeerNetwork
 from sycamorebay.transport.platform import open_store
+from sycamorebay.transport.probing import Probing
 from sycamorebay.transport.registration import Registration
 from sycamorebay.transport.secrets import SecretFile, SecretRefresh
+from sycamorebay.transport.timing import Timers
 from sycamorebay.transport.upstream import open_upstream
 
 _OPERATORS_STOP_LIMIT_S = 1.0
@@ -51,7 +55,7 @@
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
         self._metrics = Metrics()
-        self._dispatcher = Dispatcher(random.Random())
+        self._dispatcher = Dispatcher(random.Random(), CHOOSERS_BY_NAME[settings.chooser]())
         self._freshness = Freshness(boottime(), settings.freshness)
         self._dispatcher.objection = lambda: self._freshness.objection(boottime())
         self._in_force = RevisionInForce(
@@ -83,15 +87,17 @@
             )
             await stack.enter_async_context(self._network.open())
             follower = StoreFollower(settings, store, self._in_force, self._membership)
+            forwarder = Forwarder(self._dispatcher, Operations(), upstream, self._metrics)
             background: list[Background] = [
                 PauseWatch(self._freshness, (self._heartbeats.soon, follower.soon)),
                 follower,
                 Registration(settings, store, self._membership.own, self._in_force),
                 self._heartbeats,
                 SecretRefresh(self._secrets),
+                Probing(self._dispatcher, upstream, self._metrics),
+                Timers(self._dispatcher, forwarder, self._entries),
             ]
             await stack.enter_async_context(running(background))
-            forwarder = Forwarder(self._dispatcher, Operations(), upstream, self._metrics)
             await self._serve(forwarder)
         _log.info("stopped")
 
@@ -124,6 +130,10 @@
     def _on_platform_call(self, kind: str) -> None:
         self._metrics.platform_calls.labels(kind).inc()
 
+    def _entries(self) -> list[Entry]:
+        members = [self._membership.own, *self._membership.peers()]
+        return [Entry(member.id, member.failure_domain) for member in members]
+
     def _status(self) -> Status:
         configuration = self._in_force.configuration
         objection = self._freshness.objection(boottime())
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from sycamorebay.coordination.dispatch import Dispatcher
 from sycamorebay.coordination.messages import (
     Answer,
     Cancel,
@@ -23,6 +24,25 @@
     return Request(number, "desk.test", "POST", "/bids")
 
 
+def serve(made: Dispatcher, now: float, request: Request) -> str:
+    """Send a request, answer it, and return the backend server's id."""
+    (send,) = made.on_request(now, request)
+    made.on_answer(now, send.attempt_id, Answer(200))
+    made.on_end(now, send.attempt_id)
+    return send.backend_server.id
+
+
+def fail(made: Dispatcher, request: Request, fault: Answer | Failure) -> int:
+    """Let every attempt of a request fail, and return how many there were."""
+    sends = 0
+    actions = made.on_request(0.0, request)
+    while isinstance(actions[0], Send):
+        sends += 1
+        event = made.on_answer if isinstance(fault, Answer) else made.on_failure
+        actions = event(0.0, actions[0].attempt_id, fault)
+    return sends
+
+
 class DispatchTest(testtools.TestCase):
     def test_sends_to_an_allowed_server_and_delivers(self):
         made = dispatcher()
@@ -67,10 +87,18 @@
             self.assertEqual("not-run", actions[0].refusal.tag)
         self.assertLessEqual(sends, 111)
 
+    def test_a_total_failure_after_good_times_is_not_amplified(self):
+        made = dispatcher(servers=20)
+        for number in range(1000):
+            serve(made, 0.0, price(number))
+        for fault in (Answer(503, shed=True), Failure("connect", False, "refused")):
+            sends = sum(fail(made, price(number), fault) for number in range(1000))
+            self.assertLessEqual(sends, 1100)
+
     def test_a_leaving_server_gets_no_new_work(self):
         made = dispatcher(servers=2)
         made.on_report(0.0, "desk-0", LoadReport(0, leaving=True))
-        servers = {made.on_request(0.0, price(n))[0].backend_server.id for n in range(20)}
+        servers = {serve(made, 0.0, price(n)) for n in range(20)}
         self.assertEqual({"desk-1"}, servers)
 
     def test_a_gone_caller_frees_its_slot(self):
