--- a/src/sycamorebay/transport/daemon.py
+++ b/src/sycamorebay/transport/daemon.py
@@ -7,15 +7,17 @@
 import random
 import signal
 import time
+from collections.abc import Callable
 
 import uvicorn
 
 from sycamorebay import log
+from sycamorebay.coordination.assignment import Entry
+from sycamorebay.coordination.choose import CHOOSERS_BY_NAME
 from sycamorebay.coordination.configuration import Configuration
 from sycamorebay.coordination.dispatch import Dispatcher
 from sycamorebay.coordination.freshness import Freshness
 from sycamorebay.coordination.membership import Member, Membership
-from sycamorebay.coordination.operations import Operations
 from sycamorebay.metrics import Metrics
 from sycamorebay.settings import Settings
 from sycamorebay.transport.background import Background, running
@@ -25,15 +27,16 @@
 from sycamorebay.transport.front import caller_server, server
 from sycamorebay.transport.heartbeats import Heartbeats
 from sycamorebay.transport.in_force import RevisionInForce
-from sycamorebay.transport.inquire import Inquirer, NetworkPeers
+from sycamorebay.transport.keyed import KeyedOperations, open_operations
 from sycamorebay.transport.operators import Status, operator_app
 from sycamorebay.transport.pauses import PauseWatch
 from sycamorebay.transport.peer_messages import PeerMessages
 from sycamorebay.transport.peers import PeerNetwork
 from sycamorebay.transport.platform import open_store
-from sycamorebay.transport.ranges import RangeRegistry, for_ranges
+from sycamorebay.transport.probing import Probing
 from sycamorebay.transport.registration import Registration
 from sycamorebay.transport.secrets import SecretFile, SecretRefresh
+from sycamorebay.transport.timing import Timers
 from sycamorebay.transport.upstream import open_upstream
 
 _OPERATORS_STOP_LIMIT_S = 1.0
@@ -53,7 +56,7 @@
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
         self._metrics = Metrics()
-        self._dispatcher = Dispatcher(random.Random())
+        self._dispatcher = Dispatcher(random.Random(), CHOOSERS_BY_NAME[settings.chooser]())
         self._freshness = Freshness(boottime(), settings.freshness)
         self._dispatcher.objection = lambda: self._freshness.objection(boottime())
         self._in_force = RevisionInForce(
@@ -72,13 +75,13 @@
         )
         self._messages.on("heartbeat", self._heartbeats.on_heartbeat)
         self._messages.on("fetch_document", self._heartbeats.on_fetch)
+        self._keyed_objection: Callable[[], str] = lambda: ""
         self._stopping = asyncio.Event()
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then stop gracefully."""
         self._take_signals()
         settings = self._settings
-        own = self._membership.own
         async with contextlib.AsyncExitStack() as stack:
             upstream = await stack.enter_async_context(open_upstream())
             store = await stack.enter_async_context(
@@ -86,33 +89,36 @@
             )
             await stack.enter_async_context(self._network.open())
             follower = StoreFollower(settings, store, self._in_force, self._membership)
+            keyed = await stack.enter_async_context(self._open_operations())
+            forwarder = Forwarder(
+                self._dispatcher, keyed.operations, keyed.inquirer, upstream, self._metrics
+            )
+            self._messages.on("inquire", keyed.inquirer.on_inquire)
+            self._keyed_objection = keyed.objection
             background: list[Background] = [
                 PauseWatch(self._freshness, (self._heartbeats.soon, follower.soon)),
                 follower,
                 Registration(settings, store, self._membership.own, self._in_force),
                 self._heartbeats,
                 SecretRefresh(self._secrets),
+                Probing(self._dispatcher, upstream, self._metrics),
+                Timers(self._dispatcher, forwarder, self._entries),
+                keyed.registry,
             ]
-            operations = Operations(settings.operations, own, self._dispatcher.invariants)
-            range_store = await stack.enter_async_context(
-                open_store(for_ranges(settings.platform), self._on_platform_call)
-            )
-            registry = RangeRegistry(
-                range_store,
-                settings.environment,
-                own,
-                settings.operations,
-                operations.range.on_confirmed,
-            )
-            inquirer = Inquirer(operations, own, NetworkPeers(self._network, registry.read))
-            self._messages.on("inquire", inquirer.on_inquire)
-            background.append(registry)
             await stack.enter_async_context(running(background))
-            forwarder = Forwarder(self._dispatcher, operations, inquirer, upstream, self._metrics)
             await self._serve(forwarder)
             await forwarder.operator.drain()
         _log.info("stopped")
 
+    def _open_operations(self) -> contextlib.AbstractAsyncContextManager[KeyedOperations]:
+        return open_operations(
+            self._settings,
+            self._membership.own,
+            self._network,
+            self._dispatcher.invariants,
+            self._on_platform_call,
+        )
+
     def _take_signals(self) -> None:
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -142,9 +148,13 @@
     def _on_platform_call(self, kind: str) -> None:
         self._metrics.platform_calls.labels(kind).inc()
 
+    def _entries(self) -> list[Entry]:
+        members = [self._membership.own, *self._membership.peers()]
+        return [Entry(member.id, member.failure_domain) for member in members]
+
     def _status(self) -> Status:
         configuration = self._in_force.configuration
-        objection = self._freshness.objection(boottime())
+        objection = self._freshness.objection(boottime()) or self._keyed_objection()
         for name, count in self._dispatcher.invariants.violations_by_name.items():
             self._metrics.violations.labels(name).set(count)
         return Status(
--- a/src/sycamorebay/transport/forward.py
+++ b/src/sycamorebay/transport/forward.py
@@ -30,11 +30,11 @@
 from sycamorebay.protocol.headers import (
     Headers,
     answer_headers,
+    header_value,
     load_report,
     request_headers,
     request_id_of,
 )
-from sycamorebay.protocol.headers import header as _header
 from sycamorebay.protocol.problem import problem_body, problem_headers
 from sycamorebay.state.operations import KeptAnswer
 from sycamorebay.transport.inquire import Inquirer
@@ -97,7 +97,7 @@
 
 
 @attrs.define
-class _Exchange:
+class Exchange:
     """State of one request in flight."""
 
     incoming: IncomingRequest
@@ -220,7 +220,7 @@
         self._clock = clock
         self._ids = count(1)
         self._id_prefix = uuid.uuid4().hex[:12]
-        self._by_request: dict[int, _Exchange] = {}
+        self._by_request: dict[int, Exchange] = {}
 
     @property
     def in_flight(self) -> int:
@@ -232,7 +232,7 @@
         arrived = self._clock()
         self._metrics.requests.inc()
         exchange = self._open(incoming, arrived)
-        key = _header(incoming.headers, names.IDEMPOTENCY_KEY)
+        key = header_value(incoming.headers, names.IDEMPOTENCY_KEY)
         if key is None:
             return await self._run_owned(exchange)
         try:
@@ -241,7 +241,7 @@
             return self._refused(exchange, NotRun("read", "caller", str(error), 408))
         return await self.operator.operate(exchange, key)
 
-    async def _run_owned(self, exchange: _Exchange) -> OutgoingAnswer:
+    async def _run_owned(self, exchange: Exchange) -> OutgoingAnswer:
         """Run a request; cancelling this gives it up."""
         self._by_request[exchange.request.id] = exchange
         try:
@@ -266,7 +266,7 @@
         """Carry out actions that no request's own event returned, such as a timer's."""
         self._carry_out(actions)
 
-    def _open(self, incoming: IncomingRequest, arrived: float) -> _Exchange:
+    def _open(self, incoming: IncomingRequest, arrived: float) -> Exchange:
         length = incoming.content_length
         streamed = incoming.has_body() and (length is None or length > MAX_REPLAYABLE_BYTES)
         request_id = next(self._ids)
@@ -280,12 +280,12 @@
         )
         log_id = request_id_of(incoming.headers) or f"{self._id_prefix}-{request_id}"
         body = incoming.chunks() if streamed else None
-        return _Exchange(incoming, request, log_id, arrived, body)
+        return Exchange(incoming, request, log_id, arrived, body)
 
-    def _give_up(self, exchange: _Exchange) -> None:
+    def _give_up(self, exchange: Exchange) -> None:
         self._carry_out(self._dispatcher.on_caller_gone(self._clock(), exchange.request.id))
 
-    async def _run(self, exchange: _Exchange) -> OutgoingAnswer:
+    async def _run(self, exchange: Exchange) -> OutgoingAnswer:
         actions = self._dispatcher.on_request(self._clock(), exchange.request)
         while True:
             action = self._own(exchange, actions)
@@ -300,7 +300,7 @@
                 return answer
 
     async def _attempt(
-        self, exchange: _Exchange, send: Send
+        self, exchange: Exchange, send: Send
     ) -> tuple[OutgoingAnswer | None, list[Action]]:
         self._metrics.attempts.inc()
         started = self._clock()
@@ -328,7 +328,7 @@
         self._observe(exchange, now)
         return self._deliver(exchange, send, answer), actions
 
-    def _failed(self, exchange: _Exchange, send: Send, failure: Failure) -> list[Action]:
+    def _failed(self, exchange: Exchange, send: Send, failure: Failure) -> list[Action]:
         _log.warning(
             "attempt failed",
             request_id=exchange.log_id,
@@ -338,7 +338,7 @@
         )
         return self._dispatcher.on_failure(self._clock(), send.attempt_id, failure)
 
-    def _outgoing(self, exchange: _Exchange, send: Send) -> OutgoingRequest:
+    def _outgoing(self, exchange: Exchange, send: Send) -> OutgoingRequest:
         incoming = exchange.incoming
         return OutgoingRequest(
             address=send.backend_server.address,
@@ -350,7 +350,7 @@
             deadline=send.deadline,
         )
 
-    def _deliver(self, exchange: _Exchange, send: Send, answer: BackendAnswer) -> OutgoingAnswer:
+    def _deliver(self, exchange: Exchange, send: Send, answer: BackendAnswer) -> OutgoingAnswer:
         def on_end() -> None:
             self._carry_out(self._dispatcher.on_end(self._clock(), send.attempt_id))
 
@@ -358,14 +358,14 @@
         headers = answer_headers(answer.headers, answer.status, exchange.log_id)
         return OutgoingAnswer(answer.status, headers, body)
 
-    def _observe(self, exchange: _Exchange, now: float) -> None:
+    def _observe(self, exchange: Exchange, now: float) -> None:
         self._metrics.backend.observe(exchange.backend_s)
         self._metrics.added.observe(now - exchange.arrived - exchange.backend_s)
 
     def _replayed(self, kept: KeptAnswer) -> OutgoingAnswer:
         return OutgoingAnswer(kept.status, list(kept.headers), kept.body)
 
-    def _refused(self, exchange: _Exchange, refusal: Refusal) -> OutgoingAnswer:
+    def _refused(self, exchange: Exchange, refusal: Refusal) -> OutgoingAnswer:
         self._count_refusal(refusal, exchange.log_id)
         headers = problem_headers(refusal, exchange.log_id)
         return OutgoingAnswer(refusal.status, headers, problem_body(refusal, exchange.log_id))
@@ -381,13 +381,13 @@
             reason=refusal.reason,
         )
 
-    def _own(self, exchange: _Exchange, actions: list[Action]) -> Action:
+    def _own(self, exchange: Exchange, actions: list[Action]) -> Action:
         own = actions[0]
         if len(actions) > 1:
             self._carry_out(actions[1:])
         return own
 
-    async def _wait(self, exchange: _Exchange) -> Action:
+    async def _wait(self, exchange: Exchange) -> Action:
         exchange.mailbox = asyncio.get_running_loop().create_future()
         try:
             return await exchange.mailbox
@@ -403,12 +403,12 @@
 
 
 def _deadline_s(headers: Headers) -> float | None:
-    value = _header(headers, names.DEADLINE)
+    value = header_value(headers, names.DEADLINE)
     if value is None or not value.isdecimal():
         return None
     return int(value[:9]) / 1000
 
 
-async def _read_body(exchange: _Exchange) -> None:
+async def _read_body(exchange: Exchange) -> None:
     if exchange.body is None and exchange.incoming.has_body():
         exchange.body = await exchange.incoming.read()
--- a/src/sycamorebay/transport/operate.py
+++ b/src/sycamorebay/transport/operate.py
@@ -26,14 +26,13 @@
 )
 from sycamorebay.outcomes import NotRun, Refusal, Unknown
 from sycamorebay.protocol import headers as names
-from sycamorebay.protocol.headers import header
+from sycamorebay.protocol.headers import header_value
 from sycamorebay.state.operations import KeptAnswer, OperationKey
 from sycamorebay.transport.inquire import Inquirer
 from sycamorebay.transport.upstream import CutOffError
 
 if TYPE_CHECKING:
-    from sycamorebay.transport.forward import ForwardedBody, OutgoingAnswer
-    from sycamorebay.transport.forward import _Exchange as Exchange
+    from sycamorebay.transport.forward import Exchange, ForwardedBody, OutgoingAnswer
 
 MAX_KEPT_ANSWER_BYTES = 16_384
 
@@ -96,7 +95,7 @@
         if fingerprint is None:
             reason = "the body of a keyed operation is too large or has no length"
             return self._refuse(exchange, NotRun(STEP, "", reason, 413))
-        first_send = header(exchange.incoming.headers, names.ATTEMPT) == "1"
+        first_send = header_value(exchange.incoming.headers, names.ATTEMPT) == "1"
         operation = Operation(key, fingerprint, first_send)
         decision = self._operations.on_operation(self._clock(), operation)
         if isinstance(decision, Replay):
--- a/src/sycamorebay/transport/ranges.py
+++ b/src/sycamorebay/transport/ranges.py
@@ -77,6 +77,7 @@
         self._since = 0.0
         self._lease = 0
         self._version = 0
+        self.failed = False
         self._writes = 0
         self._next_read_at = 0.0
         self._running: asyncio.Task[tuple[EntryRange, ...]] | None = None
@@ -89,9 +90,11 @@
                 await self.read()
                 if not await self._store.keep_alive(self._lease):
                     self._lease = 0
+                self.failed = False
                 wait_s = EXTEND_S
             except PlatformError as error:
                 _log.warning("range not extended", step=error.step, reason=str(error))
+                self.failed = True
                 wait_s = RETRY_S
             await asyncio.sleep(wait_s * (0.9 + 0.2 * random.random()))
 
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import signal
 
 import aiohttp
@@ -8,6 +9,7 @@
 from yarl import URL
 
 from bench.fleet import OPERATORS_PORT, Fleet
+from bench.load import new_key
 from tests.support import asynchronous, small_shape
 
 HOST = {"host": "desk.test"}
@@ -18,6 +20,7 @@
     async def test_serves_refuses_and_stops_gracefully(self):
         async with Fleet(small_shape()) as fleet:
             await self.check_served(fleet)
+            await self.check_operation(fleet)
             await self.check_refused(fleet)
             await self.check_operators(fleet)
             await self.check_cut_answer(fleet)
@@ -33,6 +36,18 @@
         async with fleet.http.post(fleet.url(1) + "/bids", headers=HOST, data=b"x" * 9) as response:
             self.assertEqual(9, (await response.json())["bytes"])
 
+    async def check_operation(self, fleet: Fleet) -> None:
+        key = new_key(random.Random(1))
+        headers = {**HOST, "idempotency-key": key, "sycamorebay-attempt": "1"}
+        bodies = []
+        for _ in range(2):
+            async with fleet.http.post(fleet.url(0) + "/bids", headers=headers) as response:
+                self.assertEqual(200, response.status)
+                bodies.append(await response.read())
+        self.assertEqual(bodies[0], bodies[1])
+        counted = await fleet.counted_by_backend()
+        self.assertEqual(1, sum(one["runs_by_key"].get(key, 0) for one in counted.values()))
+
     async def check_refused(self, fleet: Fleet) -> None:
         async with fleet.http.get(fleet.url(0) + "/", headers={"host": "no.test"}) as response:
             problem = await response.json(content_type="application/problem+json")
