--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 READY = $(VENV)/.ready
 
-.PHONY: install test check demo bench schema generate lock
+.PHONY: install test check demo bench soak schema generate lock
 
 install: $(READY)
 
@@ -24,6 +24,12 @@
 demo: install
 	$(BIN)/python -m bench.demo
 
+SEED ?= 1
+SECONDS ?= 600
+
+soak: install
+	$(BIN)/python -m bench.soak --seed $(SEED) --seconds $(SECONDS)
+
 generate:
 	thrift -r --gen py:slots -out src/sycamorebay/protocol/generated src/sycamorebay/protocol/peers.thrift
 
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -12,6 +12,7 @@
 import subprocess
 import sys
 import tempfile
+from collections import Counter
 from collections.abc import AsyncIterator
 from pathlib import Path
 from typing import Any, Self
@@ -47,6 +48,8 @@
         Behaviour of every backend server at the start.
     settings : dict
         Settings merged into those of each entry.
+    entry_command : tuple of str
+        Python arguments that start an entry.
     """
 
     entries: int
@@ -54,6 +57,7 @@
     backend_processes: int = 3
     behaviour: dict[str, Any] = attrs.field(factory=dict)
     settings: dict[str, Any] = attrs.field(factory=dict)
+    entry_command: tuple[str, ...] = ("-m", "sycamorebay", "serve")
 
 
 def service(
@@ -135,7 +139,7 @@
         """Start, or start again, one entry."""
         path = self.directory / f"entry-{index}.json"
         path.write_text(json.dumps(self._settings(index)))
-        self.spawn(f"entry-{index}", ["-m", "sycamorebay", "serve", "--settings", str(path)])
+        self.spawn(f"entry-{index}", [*self.shape.entry_command, "--settings", str(path)])
 
     def apply(self, document: dict[str, Any]) -> None:
         """Put a document in force by the operators' command line."""
@@ -220,11 +224,28 @@
 
     def _start_backends(self) -> None:
         for index in range(self.shape.backend_processes):
-            spec = [{**s, "behaviour": self.shape.behaviour} for s in self._owned(index)]
-            path = self.directory / f"backends-{index}.json"
-            path.write_text(json.dumps(spec))
-            arguments = ["-m", "standins.backend", "--spec", str(path), "--address", self.address]
-            self.spawn(f"backends-{index}", [*arguments, "--control", str(CONTROL_PORT + index)])
+            self.start_backends(index)
+
+    def start_backends(self, index: int) -> None:
+        """Start, or start again, one process of backend servers."""
+        spec = [{**s, "behaviour": self.shape.behaviour} for s in self._owned(index)]
+        path = self.directory / f"backends-{index}.json"
+        path.write_text(json.dumps(spec))
+        arguments = ["-m", "standins.backend", "--spec", str(path), "--address", self.address]
+        arguments += ["--control", str(CONTROL_PORT + index)]
+        self.spawn(f"backends-{index}", [*arguments, "--journal", str(self._journal(index))])
+
+    def runs_by_key(self) -> Counter[str]:
+        """Return how often each key was run, by processes that have ended too."""
+        runs: Counter[str] = Counter()
+        for index in range(self.shape.backend_processes):
+            journal = self._journal(index)
+            if journal.exists():
+                runs.update(journal.read_text().split())
+        return runs
+
+    def _journal(self, index: int) -> Path:
+        return self.directory / f"runs-{index}.txt"
 
     def _settings(self, index: int) -> dict[str, Any]:
         domains = self.document["services"][0]["failure_domains"]
--- a/src/sycamorebay/coordination/operations.py
+++ b/src/sycamorebay/coordination/operations.py
@@ -13,7 +13,7 @@
 import attrs
 
 from sycamorebay.coordination.invariants import Invariants
-from sycamorebay.coordination.membership import Member
+from sycamorebay.coordination.membership import Member, Membership
 from sycamorebay.coordination.ranges import EntryRange, OwnRange
 from sycamorebay.outcomes import NotRun, Refusal, Unknown
 from sycamorebay.settings import OperationSettings
@@ -159,14 +159,21 @@
         This entry.
     invariants : Invariants, optional
         Where violations are counted.
+    membership : Membership, optional
+        Names peers that may have joined since the ranges were read.
     """
 
     def __init__(
-        self, settings: OperationSettings, own: Member, invariants: Invariants | None = None
+        self,
+        settings: OperationSettings,
+        own: Member,
+        invariants: Invariants | None = None,
+        membership: Membership | None = None,
     ) -> None:
         self._settings = settings
         self._own = own
         self._invariants = invariants or Invariants()
+        self._membership = membership
         self._attempts = count(1)
         self._asking_by_key: dict[str, _Asking] = {}
         self._known: tuple[EntryRange, ...] = ()
@@ -192,11 +199,15 @@
             return Reject(_unknown("this entry may not run a key of this time"))
         return self._inquire(now, key, operation)
 
+    def on_known(self, now: float, ranges: Iterable[EntryRange]) -> None:
+        """Take the registered ranges as they were lately; these peers are asked first."""
+        self._known = tuple(ranges)
+
     def on_ranges(
         self, now: float, key: OperationKey, attempt: int, ranges: Iterable[EntryRange]
     ) -> Settled | Ask | None:
         """Take the registered ranges, read after the attempt began."""
-        self._known = tuple(ranges)
+        self.on_known(now, ranges)
         asking = self._current(key, attempt)
         if asking is None:
             return Reject(_busy())
@@ -298,7 +309,8 @@
         attempt = next(self._attempts)
         record = Record(key.time, Phase.ASKING, operation.fingerprint)
         self.records.add(now, key, record)
-        known = tuple(sorted(self._cover(key), key=_order))
+        heard = self._membership.peers() if self._membership is not None else []
+        known = tuple(sorted(self._cover(key) | set(heard), key=_order))
         self._asking_by_key[key.text] = _Asking(attempt, set(known))
         return Inquire(key, attempt, operation.fingerprint, known)
 
--- a/src/sycamorebay/transport/daemon.py
+++ b/src/sycamorebay/transport/daemon.py
@@ -113,7 +113,7 @@
     def _open_operations(self) -> contextlib.AbstractAsyncContextManager[KeyedOperations]:
         return open_operations(
             self._settings,
-            self._membership.own,
+            self._membership,
             self._network,
             self._dispatcher.invariants,
             self._on_platform_call,
--- a/src/sycamorebay/transport/inquire.py
+++ b/src/sycamorebay/transport/inquire.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Protocol
 
 from sycamorebay.coordination.membership import Member
@@ -159,24 +159,29 @@
     async def settle(self, inquire: Inquire) -> Settled:
         """Ask until it is settled what becomes of a send."""
         inquiry = Inquiry(inquire.key, inquire.attempt, inquire.fingerprint, self._own)
-        tasks: set[asyncio.Task[Settled | Ask | None]] = {
-            asyncio.create_task(self._read(inquiry)),
-            *(asyncio.create_task(self._ask(peer, inquiry)) for peer in inquire.known),
-        }
+        settled: asyncio.Future[Settled] = asyncio.get_running_loop().create_future()
+        tasks: set[asyncio.Task[None]] = set()
+
+        async def follow(step: Awaitable[Settled | Ask | None]) -> None:
+            outcome = await step
+            if isinstance(outcome, Ask):
+                begin([self._ask(peer, inquiry) for peer in outcome.peers])
+            elif outcome is not None and not settled.done():
+                # Outcomes that follow the first one are about an attempt that is over.
+                settled.set_result(outcome)
+
+        def begin(steps: Sequence[Awaitable[Settled | Ask | None]]) -> None:
+            for step in steps:
+                task = asyncio.create_task(follow(step))
+                tasks.add(task)
+                task.add_done_callback(tasks.discard)
+
+        begin([self._read(inquiry), *(self._ask(peer, inquiry) for peer in inquire.known)])
         try:
-            while tasks:
-                done, tasks = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-                for task in done:
-                    outcome = task.result()
-                    if isinstance(outcome, Ask):
-                        asked = [self._ask(peer, inquiry) for peer in outcome.peers]
-                        tasks |= {asyncio.create_task(one) for one in asked}
-                    elif outcome is not None:
-                        return outcome
+            return await settled
         finally:
-            for task in tasks:
+            for task in list(tasks):
                 task.cancel()
-        raise RuntimeError("an inquiry ended without an outcome")
 
     async def on_inquire(self, body: Body) -> Body:
         """Answer a peer."""
--- a/src/sycamorebay/transport/keyed.py
+++ b/src/sycamorebay/transport/keyed.py
@@ -9,7 +9,7 @@
 import attrs
 
 from sycamorebay.coordination.invariants import Invariants
-from sycamorebay.coordination.membership import Member
+from sycamorebay.coordination.membership import Membership
 from sycamorebay.coordination.operations import Operations
 from sycamorebay.settings import Settings
 from sycamorebay.transport.inquire import Inquirer, NetworkPeers
@@ -35,13 +35,14 @@
 @asynccontextmanager
 async def open_operations(
     settings: Settings,
-    own: Member,
+    membership: Membership,
     network: PeerNetwork,
     invariants: Invariants,
     on_platform_call: Callable[[str], None],
 ) -> AsyncIterator[KeyedOperations]:
     """Compose the parts, and close their connections to the platform at the end."""
-    operations = Operations(settings.operations, own, invariants)
+    own = membership.own
+    operations = Operations(settings.operations, own, invariants, membership)
     async with open_store(for_ranges(settings.platform), on_platform_call) as store:
         registry = RangeRegistry(
             store,
@@ -49,6 +50,7 @@
             own,
             settings.operations,
             operations.range.on_confirmed,
+            operations.on_known,
         )
         inquirer = Inquirer(operations, own, NetworkPeers(network, registry.read))
         yield KeyedOperations(operations, inquirer, registry)
--- a/src/sycamorebay/transport/ranges.py
+++ b/src/sycamorebay/transport/ranges.py
@@ -54,6 +54,8 @@
         How far ahead the range reaches.
     on_confirmed : callable
         Called with the time and the end of the range once the store holds it.
+    on_known : callable
+        Called with the time and all ranges from time to time.
     clock : callable
         UTC in seconds since 1970.
     """
@@ -65,6 +67,7 @@
         own: Member,
         settings: OperationSettings,
         on_confirmed: Callable[[float, float], None],
+        on_known: Callable[[float, tuple[EntryRange, ...]], None],
         clock: Callable[[], float] = time.time,
     ) -> None:
         self._store = store
@@ -73,6 +76,7 @@
         self._own = own
         self._settings = settings
         self._on_confirmed = on_confirmed
+        self._on_known = on_known
         self._clock = clock
         self._since = 0.0
         self._lease = 0
@@ -87,7 +91,7 @@
         """Extend this entry's range for ever."""
         while True:
             try:
-                await self.read()
+                self._on_known(self._clock(), await self.read())
                 if not await self._store.keep_alive(self._lease):
                     self._lease = 0
                 self.failed = False
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -79,10 +79,13 @@
         Its id in the document.
     slots : int
         Requests that it runs at the same time.
+    journal : Path, optional
+        File that gets the key of each run, so that the count outlives the process.
     """
 
-    def __init__(self, server_id: str, slots: int) -> None:
+    def __init__(self, server_id: str, slots: int, journal: Path | None = None) -> None:
         self.server_id = server_id
+        self._journal = journal
         self.behaviour = Behaviour()
         self.counts: Counter[str] = Counter()
         self.runs_by_key: Counter[str] = Counter()
@@ -130,7 +133,7 @@
         try:
             key = request.headers.get("idempotency-key")
             if key is not None:
-                self.runs_by_key[key] += 1
+                self._count_run(key)
             await asyncio.sleep(self._work_s(request))
         finally:
             self._running -= 1
@@ -138,6 +141,12 @@
         self.counts["ran"] += 1
         return await self._answer(request, body)
 
+    def _count_run(self, key: str) -> None:
+        self.runs_by_key[key] += 1
+        if self._journal is not None:
+            with self._journal.open("a") as journal:
+                journal.write(key + "\n")
+
     def _work_s(self, request: web.Request) -> float:
         work_ms = float(request.query.get("work_ms", self.behaviour.work_ms))
         cold = time.monotonic() - self._started < self.behaviour.cold_s
@@ -183,10 +192,12 @@
         return headers
 
 
-async def _run(spec: list[dict[str, Any]], address: str, control: int) -> None:
+async def _run(
+    spec: list[dict[str, Any]], address: str, control: int, journal: Path | None
+) -> None:
     by_id = {}
     for one in spec:
-        backend = Backend(one["id"], one["slots"])
+        backend = Backend(one["id"], one["slots"], journal)
         backend.behaviour = Behaviour(**one.get("behaviour", {}))
         by_id[one["id"]] = backend
         app = web.Application(client_max_size=2**30)
@@ -229,9 +240,10 @@
 @click.option("--spec", type=click.Path(exists=True), required=True)
 @click.option("--address", default="127.0.0.1", help="Address of the control endpoint.")
 @click.option("--control", type=int, required=True, help="Port of the control endpoint.")
-def main(spec: str, address: str, control: int) -> None:
+@click.option("--journal", type=click.Path(path_type=Path), help="File of keys that were run.")
+def main(spec: str, address: str, control: int, journal: Path | None) -> None:
     """Run the servers of a spec file until ended."""
-    asyncio.run(_run(json.loads(Path(spec).read_text()), address, control))
+    asyncio.run(_run(json.loads(Path(spec).read_text()), address, control, journal))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/test_operations_failures.py
@@ -0,0 +1,26 @@
+from __future__ import annotations
+
+import testtools
+
+from bench.fleet import Fleet
+from tests.operation_scenarios import (
+    killed_while_running,
+    lost_and_stale_answers_of_the_platform,
+    paused_with_a_send_in_its_socket,
+    platform_outage,
+    shape,
+)
+from tests.support import asynchronous
+
+
+class FailuresTest(testtools.TestCase):
+    @asynchronous
+    async def test_operations_run_at_most_once(self):
+        async with Fleet(shape()) as fleet:
+            for scenario in (
+                platform_outage,
+                lost_and_stale_answers_of_the_platform,
+                paused_with_a_send_in_its_socket,
+                killed_while_running,
+            ):
+                self.assertEqual({1}, set(await scenario(fleet)), scenario.__name__)
