--- a/bench/operations.py
+++ b/bench/operations.py
@@ -6,19 +6,26 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import random
-import sys
+import signal
 import time
+import tracemalloc
 from collections import Counter
 from typing import Any
 
 import aiohttp
 import attrs
+import click
 from hdrh.histogram import HdrHistogram
 
 from bench.fleet import OPERATORS_PORT, Fleet, Shape, service
 from bench.load import Report, new_key
+from sycamorebay.coordination.membership import Member
+from sycamorebay.coordination.operations import Inquiry, Operations
+from sycamorebay.settings import OperationSettings
+from sycamorebay.state.operations import KeptAnswer, parse_key
 
 HOST = "desk.test"
 DOMAINS = ("a", "b")
@@ -208,13 +215,14 @@
         ]
 
 
-async def _timed_send(fleet: Fleet, entry: int, key: str, first: bool) -> float:
+async def _timed_send(fleet: Fleet, entry: int, key: str, first: bool, query: str = "") -> float:
     headers = {"host": HOST}
     if key:
         headers["idempotency-key"] = key
         headers["sycamorebay-attempt"] = "1" if first else "2"
     started = time.perf_counter()
-    async with fleet.http.post(fleet.url(entry) + "/bids", headers=headers, data=b"x") as answer:
+    url = fleet.url(entry) + "/bids" + query
+    async with fleet.http.post(url, headers=headers, data=b"x") as answer:
         await answer.read()
         if answer.status != 200:
             raise RuntimeError(f"a send got {answer.status}: {await answer.text()}")
@@ -235,17 +243,106 @@
     return sent, calls
 
 
-def main() -> int:
+def bytes_per_thousand_records(number: int = 20_000) -> tuple[float, float]:
+    """Return the memory of a thousand tombstones, and of a thousand answers of 200 bytes."""
+    sizes = []
+    for answered in (False, True):
+        own = Member("entry-0", 1, "127.0.0.1:1", "a")
+        operations = Operations(OperationSettings(), own)
+        rng = random.Random(1)
+        tracemalloc.start()
+        for _ in range(number):
+            key = parse_key(new_key(rng))
+            assert key is not None
+            operations.on_inquiry(time.time(), Inquiry(key, 1, b"", own))
+            record = operations.records.get(key)
+            if answered and record is not None:
+                body = rng.randbytes(100)
+                headers = (("content-type", "application/json"), ("x-server", body.hex()[:68]))
+                operations.records.keep(key, record, KeptAnswer(200, headers, body, ("a",)))
+        sizes.append(tracemalloc.get_traced_memory()[0] / number * 1000)
+        tracemalloc.stop()
+    return sizes[0], sizes[1]
+
+
+async def seconds_until_settled(rounds: int, seed: int) -> list[float]:
+    """Time from an entry's death until its operation in flight gets an answer elsewhere."""
+    rng = random.Random(seed)
+    seconds = []
+    async with Fleet(shape(3)) as fleet:
+        for number in range(rounds):
+            key, entry = new_key(rng), number % 3
+            first = asyncio.create_task(_timed_send(fleet, entry, key, True, "?work_ms=400"))
+            await asyncio.sleep(0.2)
+            fleet.kill(f"entry-{entry}")
+            started = time.perf_counter()
+            await asyncio.gather(first, return_exceptions=True)
+            with contextlib.suppress(RuntimeError):
+                await _timed_send(fleet, (entry + 1) % 3, key, False, "?work_ms=400")
+            seconds.append(time.perf_counter() - started)
+            fleet.start_entry(entry)
+            await fleet.until_ready([entry])
+    return seconds
+
+
+async def share_refused(failure: str, seed: int, seconds: float = 10.0) -> str:
+    """Return what became of operations during one failure, marked and unmarked ones apart."""
+    async with Fleet(shape(5)) as fleet:
+        urls = [fleet.url(index) for index in range(5)]
+        marked = OperationCallers(urls, Habits(rate=40, unmarked=0.0, twice=0.0), seed)
+        unmarked = OperationCallers(urls, Habits(rate=20, unmarked=1.0, twice=0.0), seed + 1)
+        cause = asyncio.create_task(_bring_about(fleet, failure, seconds))
+        await asyncio.gather(marked.run(seconds), unmarked.run(seconds))
+        await cause
+    cells = []
+    for callers in (marked, unmarked):
+        outcomes = callers.report.outcomes
+        served = sum(n for (outcome, _), n in outcomes.items() if outcome == "served")
+        cells.append(f"{1 - served / outcomes.total():.2%} of {outcomes.total()}")
+    return f"{failure}: not served, marked {cells[0]}, unmarked {cells[1]}"
+
+
+async def _bring_about(fleet: Fleet, failure: str, seconds: float) -> None:
+    await asyncio.sleep(1)
+    if failure == "outage":
+        await fleet.control_platform(down=True)
+    elif failure == "death":
+        fleet.kill("entry-1")
+    elif failure == "pause":
+        fleet.signal("entry-1", signal.SIGSTOP)
+    elif failure == "rolling":
+        for index in range(4):
+            fleet.signal(f"entry-{index}", signal.SIGTERM)
+            await asyncio.to_thread(fleet.processes_by_name[f"entry-{index}"].wait, 20)
+            fleet.start_entry(index)
+            await fleet.until_ready([index])
+
+
+FAILURES = ("none", "outage", "death", "pause", "rolling")
+
+
+@click.command()
+@click.option("--part", type=click.Choice(["latency", "failures"]), default="latency")
+@click.option("--seed", type=int, default=5)
+def main(part: str, seed: int) -> None:
     """Measure and print a table."""
-    rounds, entries, seed = 150, 13, 5
+    print(f"seed {seed}, load {os.getloadavg()[0]:.1f}")
+    if part == "failures":
+        empty, answered = bytes_per_thousand_records()
+        print(f"a thousand tombstones: {empty:.0f} bytes; with answers: {answered:.0f} bytes")
+        settled = asyncio.run(seconds_until_settled(4, seed))
+        print("settled after a death in", ", ".join(f"{one:.3f} s" for one in settled))
+        for failure in FAILURES:
+            print(asyncio.run(share_refused(failure, seed)), flush=True)
+        return
+    rounds, entries = 150, 13
     timed = asyncio.run(measure(rounds, entries, seed))
-    print(f"{rounds} rounds, {entries} entries, seed {seed}, load {os.getloadavg()[0]:.1f}")
+    print(f"{rounds} rounds, {entries} entries, load {os.getloadavg()[0]:.1f}")
     print(f"{'':<28}{'p50 ms':>10}{'p99 ms':>10}{'+p50':>10}{'+p99':>10}", end="")
     print(f"{'peer bytes':>12}{'calls':>10}")
     for one in timed:
         print(one.row(timed[0].latency))
-    return 0
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    main()
