--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 READY = $(VENV)/.ready
 
-.PHONY: install test check demo bench schema generate lock
+.PHONY: install test check demo bench capacity schema generate lock
 
 install: $(READY)
 
@@ -24,6 +24,9 @@
 demo: install
 	$(BIN)/python -m bench.demo
 
+capacity: install
+	$(BIN)/python -m bench.capacity all
+
 generate:
 	thrift -r --gen py:slots -out src/sycamorebay/protocol/generated src/sycamorebay/protocol/peers.thrift
 
--- /dev/null
+++ b/bench/capacity/__main__.py
@@ -0,0 +1,55 @@
+"""Measure groups of slopes, or render the page's tables."""
+
+from __future__ import annotations
+
+import importlib
+import subprocess
+import time
+
+import click
+
+from bench.capacity.page import render_page
+from bench.capacity.slopes import load_results, save_results
+
+GROUPS = (
+    "choice",
+    "configuration",
+    "operations",
+    "scrapes",
+    "forwarding",
+    "latency",
+    "members",
+    "platform",
+    "revisions",
+)
+
+
+@click.command()
+@click.argument("names", nargs=-1, type=click.Choice([*GROUPS, "all", "render"]))
+def main(names: tuple[str, ...]) -> None:
+    """Measure the groups NAMES; ``render`` writes the tables of docs/CAPACITY.md."""
+    for name in GROUPS if "all" in names else names:
+        if name != "render":
+            _measure(name)
+    if "all" in names or "render" in names:
+        render_page()
+
+
+def _measure(group: str) -> None:
+    results = load_results()
+    results.forget(group)
+    started = time.monotonic()
+    importlib.import_module(f"bench.capacity.{group}").measure(results)
+    results.revision_by_group[group] = _revision()
+    save_results(results)
+    click.echo(f"{group}: {time.monotonic() - started:.1f} s")
+
+
+def _revision() -> str:
+    """Return the commit that was measured."""
+    command = ["git", "describe", "--always", "--dirty"]
+    return subprocess.run(command, capture_output=True, text=True, check=True).stdout.strip()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/capacity/configuration.py
@@ -0,0 +1,100 @@
+"""Configuration: bytes in the store, time to put a revision in force, growth of the trail."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from random import Random
+
+from bench.capacity.documents import document_text
+from bench.capacity.slopes import Results, repeated
+from sycamorebay.coordination.configuration import Configuration, Revision
+from sycamorebay.coordination.dispatch import Dispatcher
+from sycamorebay.protocol.revisions import (
+    AuditEntry,
+    RevisionRecord,
+    decode_record,
+    encode_record,
+)
+from sycamorebay.state.document import digest_of, load_document
+
+INSTANCES = (30, 150, 630)
+SERVICES = (20, 41, 82)
+FIXED_SERVICES = 10
+FIXED_INSTANCES = 630
+TRAIL_ENTRIES = (1, 50, 200)
+REPEATS = 5
+COMMAND_REPEATS = 3
+
+
+def measure(results: Results) -> None:
+    """Measure the group."""
+    sizes = [[float(len(_value(int(n), FIXED_SERVICES, 0))) for n in INSTANCES]]
+    results.add_slope("configuration.value", "B", "instance", INSTANCES, sizes)
+    services = [[float(len(_value(FIXED_INSTANCES, int(n), 0))) for n in SERVICES]]
+    results.add_slope("configuration.value_services", "B", "service", SERVICES, services)
+    trail = [[float(len(_value(30, FIXED_SERVICES, int(n)))) for n in TRAIL_ENTRIES]]
+    results.add_slope("configuration.trail", "B", "change kept", TRAIL_ENTRIES, trail)
+    for name, work in (("decode", _decode_s), ("check", _check_s), ("swap", _swap_s)):
+        costs = repeated(work, INSTANCES, REPEATS)
+        results.add_slope(f"configuration.{name}", "s", "instance", INSTANCES, costs)
+    usage = [[_command_usage(int(n)) for n in INSTANCES] for _ in range(COMMAND_REPEATS)]
+    times = [[one[0] for one in repeat] for repeat in usage]
+    results.add_slope("configuration.command", "s", "instance", INSTANCES, times)
+    memory = [[one[1] for one in repeat] for repeat in usage]
+    results.add_slope("configuration.command_memory", "B", "instance", INSTANCES, memory)
+
+
+def _value(instances: int, services: int, trail_entries: int) -> bytes:
+    text = document_text(instances, services)
+    entry = AuditEntry(
+        revision=1_000_000,
+        digest=digest_of(text),
+        author="on-call.operator",
+        reason="two more instances for lot-desk before the evening's bids",
+        at="2030-01-01T00:00:00+00:00",
+        action="promote",
+    )
+    revision = Revision(1_000_000, text)
+    return encode_record(RevisionRecord(revision, "0" * 32, (entry,) * trail_entries))
+
+
+def _decode_s(instances: float) -> float:
+    value = _value(int(instances), FIXED_SERVICES, max(TRAIL_ENTRIES))
+    started = time.process_time()
+    decode_record(value)
+    return time.process_time() - started
+
+
+def _check_s(instances: float) -> float:
+    text = document_text(int(instances), FIXED_SERVICES)
+    started = time.process_time()
+    Configuration().on_revision(0.0, Revision(1, text))
+    return time.process_time() - started
+
+
+def _swap_s(instances: float) -> float:
+    made = load_document(document_text(int(instances), FIXED_SERVICES))
+    dispatcher = Dispatcher(Random(1))
+    dispatcher.on_document(0.0, made)
+    started = time.process_time()
+    dispatcher.on_document(1.0, made)
+    return time.process_time() - started
+
+
+def _command_usage(instances: int) -> tuple[float, float]:
+    """Return processor time in seconds and largest memory in bytes of one ``config check``."""
+    with tempfile.TemporaryDirectory() as directory:
+        path = Path(directory) / "document.json"
+        path.write_bytes(document_text(instances, FIXED_SERVICES))
+        command = [sys.executable, "-m", "sycamorebay", "config", "check", str(path)]
+        process = subprocess.Popen(command, stdout=subprocess.DEVNULL)
+        _, status, usage = os.wait4(process.pid, 0)
+        process.returncode = os.waitstatus_to_exitcode(status)
+    if process.returncode:
+        raise RuntimeError(f"config check ended with {process.returncode}")
+    return usage.ru_utime + usage.ru_stime, usage.ru_maxrss * 1024.0
--- /dev/null
+++ b/bench/capacity/platform.py
@@ -0,0 +1,99 @@
+"""The platform's service as a fleet loads it: in calm, at a start, as an outage ends."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Any
+
+import attrs
+
+from bench.capacity.entries import fleet_of
+from bench.capacity.slopes import Results
+from bench.fleet import Fleet
+
+ENTRIES = (4, 8, 13)
+REPEATS = 2
+LEASE_S = 3
+SETTLE_S = 1.0
+CALM_S = 3.0
+OUTAGE_S = 4.0
+RECOVERY_S = 3.0
+
+
+@attrs.frozen
+class Calls:
+    """Calls of a whole fleet.
+
+    Attributes
+    ----------
+    start : float
+        All calls until every entry was ready.
+    start_peak, outage_end_peak : float
+        Calls in the busiest second of a start and after an outage.
+    calm : float
+        Calls a second.
+    """
+
+    start: float
+    start_peak: float
+    calm: float
+    outage_end_peak: float
+
+
+_UNITS = {
+    "start": "calls",
+    "start_peak": "calls/s",
+    "calm": "calls/s",
+    "outage_end_peak": "calls/s",
+}
+
+
+def measure(results: Results) -> None:
+    """Measure the group."""
+    asyncio.run(_measure(results))
+
+
+async def _measure(results: Results) -> None:
+    rounds = [[await _calls(entries) for entries in ENTRIES] for _ in range(REPEATS)]
+    for name, unit in _UNITS.items():
+        costs = [[getattr(one, name) for one in repeat] for repeat in rounds]
+        results.add_slope(f"platform.{name}", unit, "entry", ENTRIES, costs)
+
+
+async def _calls(entries: int) -> Calls:
+    async with fleet_of(entries, backend_processes=1, lease_s=LEASE_S) as fleet:
+        at_start = await _counted(fleet)
+        await asyncio.sleep(SETTLE_S)
+        before = await _counted(fleet)
+        started = time.monotonic()
+        await asyncio.sleep(CALM_S)
+        after = await _counted(fleet)
+        calm = (_total(after) - _total(before)) / (time.monotonic() - started)
+        peak = await _outage_end_peak(fleet)
+        return Calls(_total(at_start), _peak(at_start, 0), calm, peak)
+
+
+async def _outage_end_peak(fleet: Fleet) -> float:
+    """Return the most calls in a second after an outage longer than the leases."""
+    await fleet.control_platform(down=True)
+    await asyncio.sleep(OUTAGE_S)
+    before = await _counted(fleet)
+    await fleet.control_platform(down=False)
+    await asyncio.sleep(RECOVERY_S)
+    last = max(int(second) for second in before["calls_by_second"])
+    return _peak(await _counted(fleet), last)
+
+
+async def _counted(fleet: Fleet) -> dict[str, Any]:
+    async with fleet.http.get(fleet.platform_url + "/control") as response:
+        return await response.json()
+
+
+def _total(counted: dict[str, Any]) -> float:
+    return float(sum(counted["calls"].values()))
+
+
+def _peak(counted: dict[str, Any], since: int) -> float:
+    by_second = counted["calls_by_second"].items()
+    return float(max((calls for second, calls in by_second if int(second) >= since), default=0))
--- /dev/null
+++ b/bench/capacity/rows_platform.py
@@ -0,0 +1,126 @@
+"""Rows of the platform's service as the fleet loads it, and of the operators' command line."""
+
+from __future__ import annotations
+
+from bench.capacity.rows import COMPUTED, MEASURED, Row
+from bench.capacity.rows_calls import MB, entries_needed
+from bench.capacity.rows_control import BASE64, value_bytes
+from bench.capacity.size import DESIGN, PLATFORM, SECONDS_PER_DAY
+from bench.capacity.slopes import Results
+
+PLATFORM_ROLE = "platform's service"
+COMMAND = "operator's command line"
+CALLS_PER_CHANGE = 2
+READS_AND_WRITES = "calls/s"
+
+
+def rows(results: Results) -> list[Row]:
+    """Return the rows."""
+    return [*_platform(results), *_command(results)]
+
+
+def _platform(results: Results) -> list[Row]:
+    entries = entries_needed(results)
+    changes = DESIGN.changes_per_day / SECONDS_PER_DAY
+    return [
+        Row(
+            PLATFORM_ROLE,
+            "messages",
+            "calls in calm, whole fleet, leases of 3 s",
+            results.slope("platform.calm").at(entries) + changes * CALLS_PER_CHANGE,
+            READS_AND_WRITES,
+            COMPUTED,
+            "`platform.calm` at the entries needed + 2 calls a change; bound: 300 writes/s",
+            "transport.platform",
+            PLATFORM.writes_per_s,
+        ),
+        Row(
+            PLATFORM_ROLE,
+            "state",
+            "waiting watches",
+            float(entries),
+            "watches",
+            COMPUTED,
+            "one an entry; each counts as one call",
+            "transport.platform",
+        ),
+        Row(
+            PLATFORM_ROLE,
+            "messages",
+            "all calls of a start of the whole fleet, were they to fall into one second",
+            results.slope("platform.start").at(entries),
+            "calls",
+            COMPUTED,
+            "`platform.start` at the entries needed; bound: 300 writes, the lower of the two",
+            "transport.platform",
+            PLATFORM.writes_per_s,
+            "spread of the first registration over some seconds",
+        ),
+        Row(
+            PLATFORM_ROLE,
+            "messages",
+            "calls in the busiest second as an outage longer than the leases ends",
+            results.slope("platform.outage_end_peak").at(entries),
+            READS_AND_WRITES,
+            COMPUTED,
+            "`platform.outage_end_peak` at the entries needed; bound: 300 writes/s",
+            "transport.platform",
+            PLATFORM.writes_per_s,
+            "longer, jittered waits that grow with the length of the outage",
+        ),
+        Row(
+            PLATFORM_ROLE,
+            "messages",
+            "bytes that one change sends to all entries",
+            entries * value_bytes(results) * BASE64 / MB,
+            "MB",
+            COMPUTED,
+            "entries x value x 4/3",
+            "transport.platform",
+        ),
+        Row(
+            PLATFORM_ROLE,
+            "messages",
+            "registrations that the watches carry as every lease lapses and comes back",
+            2.0 * entries * entries,
+            "messages",
+            COMPUTED,
+            "2 x entries x entries: each one's going and coming, to every watch",
+            "transport.daemon",
+        ),
+    ]
+
+
+def _command(results: Results) -> list[Row]:
+    return [
+        Row(
+            COMMAND,
+            "processor",
+            "one `config check` of the whole document",
+            results.slope("configuration.command").cost_at(DESIGN.instances),
+            "s",
+            MEASURED,
+            "`configuration.command` at 630",
+            "cli",
+        ),
+        Row(
+            COMMAND,
+            "memory",
+            "one `config check` of the whole document",
+            results.slope("configuration.command_memory").cost_at(DESIGN.instances) / MB,
+            "MB",
+            MEASURED,
+            "`configuration.command_memory` at 630",
+            "cli",
+        ),
+        Row(
+            COMMAND,
+            "messages",
+            "calls at the platform's service for one change, no conflict",
+            float(CALLS_PER_CHANGE),
+            "calls",
+            COMPUTED,
+            "one read and one compare-and-swap",
+            "transport.admin",
+        ),
+    ]
