--- a/src/sycamorebay/state/backends.py
+++ b/src/sycamorebay/state/backends.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from random import Random
 
 import attrs
 
 from sycamorebay.state.document import BackendServer, Document, Service
+from sycamorebay.state.health import Health
+
+LEAVING_HOLD_S = 10.0
+_SMOOTHING = 0.1
 
 
 @attrs.frozen
@@ -28,7 +33,7 @@
     leaving: bool = False
 
 
-@attrs.define
+@attrs.define(eq=False)
 class BackendState:
     """State of one backend server as this entry sees it.
 
@@ -38,19 +43,90 @@
         Its entry in the document.
     in_flight : int
         This entry's own requests in flight there.
+    long_in_flight : int
+        Those of them that are long work.
     report : LoadReport or None
         Latest report, always stale.
     reported_at : float
         When the report came, in seconds.
-    leaving : bool
-        Whether it gets no new work.
+    own_at_report, others_at_report : int
+        This entry's own requests in flight when the report came, and the rest of the report.
+    own_slots : int
+        Slots dealt to this entry.
+    health : Health
+        Failures, ejection and return.
+    restricted : bool
+        Whether `takes_work` has to be asked.
+    answer_s : float
+        Smoothed time of an answer to short work, in seconds; 0 for none yet.
+    left_at : float
+        When it last said itself that it is leaving, in seconds; minus infinity for never.
+    told_left_at : float
+        When a peer or the list of VMs last said so.
     """
 
     server: BackendServer
     in_flight: int = 0
+    long_in_flight: int = 0
     report: LoadReport | None = None
     reported_at: float = 0.0
-    leaving: bool = False
+    own_at_report: int = 0
+    others_at_report: int = 0
+    own_slots: int = 0
+    answer_s: float = 0.0
+    health: Health = attrs.field(factory=Health)
+    restricted: bool = False
+    left_at: float = float("-inf")
+    told_left_at: float = float("-inf")
+
+    def on_report(self, now: float, report: LoadReport, *, in_answer: bool = False) -> None:
+        """Take a report; one in an answer does not count the request that it answers."""
+        self.report = report
+        self.reported_at = now
+        self.own_at_report = max(0, self.in_flight - in_answer)
+        self.others_at_report = max(0, report.in_flight + report.queued - self.own_at_report)
+        if report.leaving:
+            self.left_at = now
+            self.restricted = True
+
+    def on_told_leaving(self, now: float) -> None:
+        """Take another's word that it is leaving."""
+        self.told_left_at = now
+        self.restricted = True
+
+    def takes_work(self, now: float, rng: Random) -> bool:
+        """Whether it is a candidate for new work now."""
+        health = self.health
+        if self.leaving(now) or health.is_ejected(now):
+            return False
+        if health.on_trial:
+            return self.in_flight == 0
+        share = health.share(now)
+        if share < 1.0:
+            return rng.random() < share
+        self.restricted = False
+        return True
+
+    def on_answer_time(self, seconds: float) -> None:
+        """Take the time of an answer to short work."""
+        if self.answer_s == 0.0:
+            self.answer_s = seconds
+        self.answer_s += _SMOOTHING * (seconds - self.answer_s)
+
+    def leaving(self, now: float) -> bool:
+        """Whether it gets no new work.
+
+        Its own word holds until it says otherwise `LEAVING_HOLD_S` later; another's lapses then.
+        """
+        if now - self.told_left_at < LEAVING_HOLD_S:
+            return True
+        return self.left_itself(now)
+
+    def left_itself(self, now: float) -> bool:
+        """Whether it said itself that it is leaving."""
+        if now - self.left_at < LEAVING_HOLD_S:
+            return True
+        return self.report is not None and self.report.leaving
 
 
 class BackendTable:
@@ -60,21 +136,28 @@
         self._by_id: dict[str, BackendState] = {}
         self._by_service: dict[str, list[BackendState]] = {}
 
-    def replace(self, document: Document) -> None:
-        """Take over a new document; what is known of a server that stays is kept."""
+    def replace(self, now: float, document: Document) -> None:
+        """Take over a new document.
+
+        What is known of a server that stays is kept; a server that comes later starts slowly.
+        """
         known = self._by_id
         self._by_id = {}
         self._by_service = {}
         for service in document.services:
-            states = [self._carry_over(known, server) for server in service.backend_servers]
+            servers = service.backend_servers
+            states = [self._carry_over(now, known, server) for server in servers]
             self._by_service[service.name] = states
             self._by_id.update((state.server.id, state) for state in states)
 
     @staticmethod
-    def _carry_over(known: dict[str, BackendState], server: BackendServer) -> BackendState:
+    def _carry_over(
+        now: float, known: dict[str, BackendState], server: BackendServer
+    ) -> BackendState:
         state = known.get(server.id)
         if state is None or state.server.address != server.address:
-            return BackendState(server)
+            ramp_from = now if known else float("-inf")
+            return BackendState(server, health=Health(ramp_from=ramp_from), restricted=bool(known))
         state.server = server
         return state
 
--- /dev/null
+++ b/src/sycamorebay/transport/probing.py
@@ -0,0 +1,91 @@
+"""The task that probes backend servers."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from sycamorebay import log
+from sycamorebay.coordination.dispatch import Dispatcher
+from sycamorebay.coordination.probe import Probe
+from sycamorebay.metrics import Metrics
+from sycamorebay.protocol.headers import load_report
+from sycamorebay.state.backends import LoadReport
+from sycamorebay.transport.upstream import AttemptError, OutgoingRequest, Upstream
+
+LOAD_TARGET = "/load"
+PROBE_TIMEOUT_S = 0.5
+TICK_S = 0.02
+
+_log = log.part("probing")
+
+
+class Probing:
+    """Sends probes as the budget allows.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Decides whom to probe, and takes the answers.
+    upstream : Upstream
+        Reaches backend servers.
+    metrics : Metrics
+        Counts probes.
+    clock : callable
+        Time in seconds, never going back.
+    """
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        upstream: Upstream,
+        metrics: Metrics,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._upstream = upstream
+        self._metrics = metrics
+        self._clock = clock
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        prober = self._dispatcher.prober
+        async with asyncio.TaskGroup() as probes:
+            while True:
+                self._metrics.probe_budget.set(prober.rate)
+                while (probe := prober.next_probe(self._clock())) is not None:
+                    self._metrics.probes.inc()
+                    probes.create_task(self._ask(probe))
+                await asyncio.sleep(TICK_S)
+
+    async def _ask(self, probe: Probe) -> None:
+        server = probe.backend_server
+        request = OutgoingRequest(
+            address=server.address,
+            method="GET",
+            target=LOAD_TARGET,
+            headers=[("host", server.address)],
+            body=None,
+            length=None,
+            deadline=self._clock() + PROBE_TIMEOUT_S,
+        )
+        try:
+            report = await self._report(request, lambda: self._dispatcher.may_probe(server))
+        except (AttemptError, OSError, ValueError, TimeoutError) as error:
+            _log.info("probe failed", step="probe", peer=server.id, reason=str(error))
+            self._dispatcher.on_probe_failure(self._clock(), server.id)
+        else:
+            self._dispatcher.on_probe_answer(self._clock(), server.id, report)
+
+    async def _report(
+        self, request: OutgoingRequest, may_send: Callable[[], bool]
+    ) -> LoadReport | None:
+        answer = await self._upstream.send(request, may_send)
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                async for _ in answer.chunks():
+                    pass
+        finally:
+            answer.release()
+        return load_report(dict(answer.headers))
