--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -25,6 +25,7 @@
 PEERS_PORT = 7000
 BACKEND_PORT = 10_000
 CONTROL_PORT = 6000
+SEEDS = 3
 ROOT = Path(__file__).resolve().parent.parent
 
 _fleets = itertools.count(1)
@@ -192,6 +193,18 @@
         async with self.http.get(self.url(index, OPERATORS_PORT) + path, headers=headers) as reply:
             return reply.status, await reply.text()
 
+    async def status(self, index: int) -> dict[str, Any]:
+        """Return what one entry tells of itself."""
+        _, text = await self.operator(index, "/status")
+        return json.loads(text)
+
+    async def until_in_force(self, indices: Any, revision: int, limit_s: float = 17.0) -> None:
+        """Wait until entries have a revision in force."""
+        async with asyncio.timeout(limit_s):
+            for index in indices:
+                while (await self.status(index))["revision"] < revision:  # noqa: ASYNC110
+                    await asyncio.sleep(0.05)
+
     async def until_ready(self, indices: Any, limit_s: float = 30.0) -> None:
         """Wait until entries are ready."""
         async with asyncio.timeout(limit_s):
@@ -227,17 +240,21 @@
 
     def _settings(self, index: int) -> dict[str, Any]:
         domains = self.document["services"][0]["failure_domains"]
-        return {
+        seeds = [f"{self.address}:{PEERS_PORT + seed}" for seed in range(SEEDS)]
+        settings: dict[str, Any] = {
             "id": f"entry-{index}",
             "failure_domain": domains[index % len(domains)],
             "callers": {"address": self.address, "port": CALLERS_PORT + index},
             "operators": {"address": self.address, "port": OPERATORS_PORT + index},
-            "peers": {"address": self.address, "port": PEERS_PORT + index},
+            "peers": {"address": self.address, "port": PEERS_PORT + index, "seeds": seeds},
             "platform": {"url": self.platform_url, "vm_list_url": self.platform_url + "/vms"},
             "secret_file": str(self.directory / "secret"),
             "stop": {"notice_s": 0.2, "limit_s": 5},
-            **self.shape.settings,
         }
+        for name, value in self.shape.settings.items():
+            nested = isinstance(value, dict) and name in settings
+            settings[name] = {**settings[name], **value} if nested else value
+        return settings
 
     def _end(self) -> None:
         for process in self.processes_by_name.values():
--- a/src/sycamorebay/coordination/freshness.py
+++ b/src/sycamorebay/coordination/freshness.py
@@ -36,7 +36,8 @@
 
     After its start, and after each pause of its process, an entry asks the store and every peer
     that it knows. It serves once the store or a peer has answered, and every other peer has
-    answered or has had its time. Only answers to questions asked after the pause count: what
+    answered or has had its time. The round of heartbeats that asks them starts after the store's
+    first answer, which names them. Only answers to questions asked after the pause count: what
     waited in a socket may be old.
 
     Parameters
@@ -55,6 +56,7 @@
         self._store_asked_at = -inf
         self._asked_at_by_peer: dict[str, float] = {}
         self._peer_ids: frozenset[str] = frozenset()
+        self._round_due = True
         self._revision = 0
         self._newest_known = 0
         self._behind_since = inf
@@ -70,16 +72,20 @@
         self._notice_pause(now)
         self._settle(now)
 
-    def on_peers(self, now: float, peer_ids: Iterable[str]) -> None:
-        """Take the ids of all peers that are known."""
+    def on_round(self, now: float, peer_ids: Iterable[str]) -> None:
+        """Take the start of a round of heartbeats to all peers that are known now."""
         self._notice_pause(now)
+        self._round_due = False
         self._peer_ids = frozenset(peer_ids)
         kept = self._asked_at_by_peer.keys() & self._peer_ids
         self._asked_at_by_peer = {id_: self._asked_at_by_peer[id_] for id_ in kept}
+        self._settle(now)
 
     def on_store(self, now: float, asked_at: float) -> None:
         """Take an answer of the store to a read that began at `asked_at`."""
         self._notice_pause(now)
+        if self._store_asked_at < self._asking_since <= asked_at:
+            self._round_due = True
         self._store_asked_at = max(self._store_asked_at, asked_at)
         self._settle(now)
 
@@ -127,11 +133,14 @@
         if now - self._seen_at > self._limits.pause_s:
             self.pauses += 1
             self._settled = False
+            self._round_due = True
             self._asking_since = now
         self._seen_at = max(self._seen_at, now)
 
     def _settle(self, now: float) -> None:
-        if self._settled or self._revision == 0 or self._revision < self._newest_known:
+        if self._settled or self._round_due:
+            return
+        if self._revision == 0 or self._revision < self._newest_known:
             return
         answered = {id_ for id_, at in self._asked_at_by_peer.items() if at >= self._asking_since}
         anyone = bool(answered) or self._store_asked_at >= self._asking_since
--- a/src/sycamorebay/transport/heartbeats.py
+++ b/src/sycamorebay/transport/heartbeats.py
@@ -27,7 +27,6 @@
 ANSWER_LIMIT_S = 2.0
 FETCH_LIMIT_S = 4.0
 _SOON_S = 0.1
-_UNKNOWN = "unknown"
 
 _log = log.part("heartbeats")
 
@@ -104,9 +103,9 @@
     async def _round(self) -> None:
         now = boottime()
         self._membership.on_tick(now)
-        freshness = self._in_force.freshness
-        freshness.on_peers(now, [peer.id for peer in self._membership.peers()])
         targets = self._targets()
+        known = [*self._membership.peers(), *self._unmet_seeds()]
+        self._in_force.freshness.on_round(now, [peer.id for peer in known])
         await asyncio.gather(*(self._beat(peer) for peer in targets))
         self._metrics.peers_alive.set(len(self.alive()))
 
@@ -124,9 +123,12 @@
         peers = self._membership.peers()
         if settled and peers:
             return self._membership.targets(self._rng, self._settings.peers.fan_out)
-        known = {peer.address for peer in peers} | {self._membership.own.address}
-        seeds = [seed for seed in self._settings.peers.seeds if seed not in known]
-        return peers + [Member(_UNKNOWN, 0, seed, _UNKNOWN) for seed in seeds]
+        return peers + self._unmet_seeds()
+
+    def _unmet_seeds(self) -> list[Member]:
+        met = {peer.address for peer in self._membership.peers()} | {self._membership.own.address}
+        seeds = [seed for seed in self._settings.peers.seeds if seed not in met]
+        return [Member(seed, 0, seed, "") for seed in seeds]
 
     async def _beat(self, peer: Member) -> None:
         asked_at = boottime()
@@ -143,7 +145,8 @@
             _log.debug("heartbeat failed", peer=peer.id, reason=str(error))
             self._network.drop(peer)
             return
-        self._in_force.freshness.on_peer(boottime(), sender.id, asked_at)
+        for id_ in {peer.id, sender.id}:
+            self._in_force.freshness.on_peer(boottime(), id_, asked_at)
 
     def _take(self, heartbeat: Heartbeat) -> Member:
         now = boottime()
--- /dev/null
+++ b/tests/fast_fleet.py
@@ -0,0 +1,29 @@
+"""Fleets whose time is compressed by settings."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from bench.fleet import Fleet
+
+ENTRIES = 3
+FAST: dict[str, Any] = {
+    "heartbeat_s": 0.2,
+    "platform": {"timeout_s": 0.5, "lease_s": 2, "poll_s": 0.5, "calls_per_second": 20.0},
+    "freshness": {"pause_s": 0.8, "settle_s": 1.0, "isolated_s": 4.0, "behind_s": 2.0},
+}
+HEARTBEATS_ONLY = {**FAST, "platform": {**FAST["platform"], "poll_s": 600}}
+
+
+def changed(fleet: Fleet, note: str) -> dict[str, Any]:
+    """Return the fleet's document with one more host."""
+    services = [
+        {**one, "hosts": [f"{one['name']}.test", note]} for one in fleet.document["services"]
+    ]
+    return {**fleet.document, "services": services}
+
+
+async def get(fleet: Fleet, index: int, host: str) -> tuple[int, str]:
+    url = fleet.url(index) + "/prices/7"
+    async with fleet.http.get(url, headers={"host": host}) as response:
+        return response.status, await response.text()
--- a/tests/test_configuration_freshness.py
+++ b/tests/test_configuration_freshness.py
@@ -22,8 +22,8 @@
     def settled(self, *peers: str) -> Freshness:
         freshness = Freshness(0.0, LIMITS)
         freshness.on_in_force(0.1, 1)
-        freshness.on_peers(0.1, peers)
         freshness.on_store(0.2, 0.1)
+        freshness.on_round(0.2, peers)
         for peer in peers:
             freshness.on_peer(0.2, peer, 0.1)
         self.assertEqual("", freshness.objection(0.2))
@@ -34,9 +34,9 @@
 
     def test_a_fresh_entry_waits_for_every_peer_but_not_for_ever(self):
         freshness = Freshness(0.0, LIMITS)
-        freshness.on_peers(0.1, ["b", "c"])
         freshness.on_in_force(0.1, 1)
         freshness.on_store(0.2, 0.1)
+        freshness.on_round(0.2, ["b", "c"])
         freshness.on_peer(0.3, "b", 0.1)
         self.assertNotEqual("", freshness.objection(0.4))
         run(freshness, 0.4, LIMITS.settle_s)
@@ -45,14 +45,15 @@
     def test_a_fresh_entry_that_nobody_answers_serves_nothing(self):
         freshness = Freshness(0.0, LIMITS)
         freshness.on_in_force(0.1, 1)
+        freshness.on_round(0.1, ["b"])
         run(freshness, 0.1, 30.0)
         self.assertNotEqual("", freshness.objection(30.0))
 
     def test_a_fresh_entry_does_not_serve_by_an_older_revision_than_a_peer_has(self):
         freshness = Freshness(0.0, LIMITS)
-        freshness.on_peers(0.1, ["b"])
         freshness.on_in_force(0.1, 1)
         freshness.on_store(0.2, 0.1)
+        freshness.on_round(0.2, ["b"])
         freshness.on_known(0.3, 2)
         freshness.on_peer(0.3, "b", 0.1)
         run(freshness, 0.3, 5.0)
@@ -60,6 +61,17 @@
         freshness.on_in_force(5.0, 2)
         self.assertEqual("", freshness.objection(5.0))
 
+    def test_the_stores_first_answer_is_followed_by_a_round_to_the_peers_that_it_names(self):
+        freshness = Freshness(0.0, LIMITS)
+        freshness.on_round(0.1, [])
+        freshness.on_in_force(0.2, 1)
+        freshness.on_store(0.2, 0.1)
+        self.assertNotEqual("", freshness.objection(0.2))
+        freshness.on_round(0.3, ["b"])
+        self.assertNotEqual("", freshness.objection(0.3))
+        freshness.on_peer(0.4, "b", 0.3)
+        self.assertEqual("", freshness.objection(0.4))
+
     def test_an_entry_that_wakes_asks_before_it_serves(self):
         freshness = self.settled("b")
         woken = 0.2 + LIMITS.pause_s + 0.1
@@ -67,6 +79,7 @@
         freshness.on_peer(woken, "b", asked_at=0.2)
         freshness.on_store(woken, asked_at=0.2)
         self.assertNotEqual("", freshness.objection(woken))
+        freshness.on_round(woken, ["b"])
         freshness.on_peer(woken + 0.1, "b", asked_at=woken)
         self.assertEqual("", freshness.objection(woken + 0.1))
 
