Spread news of leaving backend servers between entries, with their age

An entry that sees or hears new news starts its next round at once; news that is told keeps its age and dies out, so that a server that returns gets work again. The list of VMs is read as a hint. The parts that deal with configuration, membership and peers are composed by Control.

--- /dev/null
+++ b/src/sycamorebay/coordination/news.py
@@ -0,0 +1,55 @@
+"""News of backend servers that are leaving, as it spreads between entries."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+
+NEWS_LIFE_S = 4.0
+MAX_NEWS = 64
+
+
+@attrs.frozen
+class News:
+    """A backend server that said `age_s` seconds ago that it is leaving."""
+
+    server_id: str
+    age_s: float
+
+
+class LeavingNews:
+    """When each backend server was last known to be leaving.
+
+    An entry passes on what it saw itself and what it was told, with its age. Nobody makes news
+    younger that was told, so news that nobody sees any more dies out within `NEWS_LIFE_S`.
+    """
+
+    def __init__(self) -> None:
+        self._seen_at_by_id: dict[str, float] = {}
+
+    def on_seen(self, now: float, server_ids: Iterable[str]) -> bool:
+        """Take what this entry sees itself; whether any of it is new."""
+        new = False
+        for server_id in server_ids:
+            new = new or server_id not in self._seen_at_by_id
+            self._seen_at_by_id[server_id] = now
+        return new
+
+    def on_told(self, now: float, news: Iterable[News]) -> dict[str, float]:
+        """Take a peer's news; return when each that is younger than known here was seen."""
+        younger: dict[str, float] = {}
+        for item in list(news)[:MAX_NEWS]:
+            seen_at = now - max(0.0, item.age_s)
+            known_at = self._seen_at_by_id.get(item.server_id)
+            if now - seen_at < NEWS_LIFE_S and (known_at is None or seen_at > known_at):
+                self._seen_at_by_id[item.server_id] = seen_at
+                younger[item.server_id] = seen_at
+        return younger
+
+    def outgoing(self, now: float) -> list[News]:
+        """Return the news to pass on, youngest first and bounded."""
+        oldest = now - NEWS_LIFE_S
+        self._seen_at_by_id = {id_: at for id_, at in self._seen_at_by_id.items() if at > oldest}
+        by_age = sorted(self._seen_at_by_id.items(), key=lambda item: -item[1])
+        return [News(id_, now - at) for id_, at in by_age[:MAX_NEWS]]
--- a/src/sycamorebay/protocol/heartbeats.py
+++ b/src/sycamorebay/protocol/heartbeats.py
@@ -7,6 +7,7 @@
 
 from sycamorebay.coordination.configuration import Configuration
 from sycamorebay.coordination.membership import Member
+from sycamorebay.coordination.news import MAX_NEWS, News
 from sycamorebay.errors import PeerError
 from sycamorebay.protocol.generated.peers.ttypes import BackendNews, Heartbeat
 from sycamorebay.protocol.generated.peers.ttypes import Member as WireMember
@@ -15,14 +16,13 @@
 OLDEST_VERSION = 1
 DIGEST_BYTES = 8
 MAX_MEMBERS = 256
-MAX_NEWS = 64
 MAX_NAME_CHARS = 64
 
 
 def heartbeat_of(
     own: Member,
     configuration: Configuration,
-    news: Sequence[BackendNews] = (),
+    news: Sequence[News] = (),
     members: Iterable[Member] | None = None,
 ) -> Heartbeat:
     """Return this entry's heartbeat.
@@ -33,7 +33,7 @@
         This entry.
     configuration : Configuration
         Tells the revision in force.
-    news : sequence of BackendNews
+    news : sequence of News
         News of backend servers.
     members : iterable of Member, optional
         Members to name, for a peer that has just started.
@@ -44,7 +44,7 @@
         sender=_wire(own),
         revision=configuration.number,
         digest=bytes.fromhex(configuration.digest)[:DIGEST_BYTES],
-        news=list(news),
+        news=[BackendNews(one.server_id, True, round(one.age_s * 1000)) for one in news],
         members=None if members is None else [_wire(member) for member in members][:MAX_MEMBERS],
     )
 
@@ -77,6 +77,15 @@
     return [member_of(member) for member in (heartbeat.members or ())[:MAX_MEMBERS]]
 
 
+def news_of(heartbeat: Heartbeat) -> list[News]:
+    """Return the news of a checked heartbeat; what makes no sense is left out."""
+    return [
+        News(one.server_id, one.age_ms / 1000)
+        for one in heartbeat.news or ()
+        if one.server_id and one.leaving and one.age_ms is not None and one.age_ms >= 0
+    ]
+
+
 def member_of(wire: WireMember) -> Member:
     """Return a member as a peer names it.
 
--- /dev/null
+++ b/src/sycamorebay/transport/control.py
@@ -0,0 +1,88 @@
+"""The parts of an entry that deal with configuration, membership and peers."""
+
+from __future__ import annotations
+
+import contextlib
+import time
+from collections.abc import AsyncIterator
+
+from sycamorebay.coordination.configuration import Configuration
+from sycamorebay.coordination.dispatch import Dispatcher
+from sycamorebay.coordination.freshness import Freshness
+from sycamorebay.coordination.membership import Member, Membership
+from sycamorebay.metrics import Metrics
+from sycamorebay.settings import Settings
+from sycamorebay.transport.background import Background
+from sycamorebay.transport.clock import boottime
+from sycamorebay.transport.following import StoreFollower
+from sycamorebay.transport.heartbeats import Heartbeats
+from sycamorebay.transport.in_force import RevisionInForce
+from sycamorebay.transport.news import NewsDesk, VmWatch
+from sycamorebay.transport.pauses import PauseWatch
+from sycamorebay.transport.peer_messages import PeerMessages
+from sycamorebay.transport.peers import PeerNetwork
+from sycamorebay.transport.platform import open_store
+from sycamorebay.transport.registration import Registration
+from sycamorebay.transport.secrets import SecretFile, SecretRefresh
+
+
+class Control:
+    """Everything of an entry but its callers.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+    dispatcher : Dispatcher
+        Gets documents and news.
+    metrics : Metrics
+        Shows what happens.
+    """
+
+    def __init__(self, settings: Settings, dispatcher: Dispatcher, metrics: Metrics) -> None:
+        self._settings = settings
+        self._dispatcher = dispatcher
+        self._metrics = metrics
+        self.freshness = Freshness(boottime(), settings.freshness)
+        self.configuration = Configuration(dispatcher.invariants)
+        self.in_force = RevisionInForce(self.configuration, self.freshness, dispatcher, metrics)
+        own = Member(settings.id, time.time_ns(), str(settings.peers), settings.failure_domain)
+        self.membership = Membership(own)
+        self.secrets = SecretFile(settings)
+        self.messages = PeerMessages()
+        self.network = PeerNetwork(settings.peers, self.secrets, self.messages, metrics)
+        self.news = NewsDesk(dispatcher)
+        self.heartbeats = Heartbeats(
+            settings, self.network, self.membership, self.in_force, self.news, metrics
+        )
+        self.messages.on("heartbeat", self.heartbeats.on_heartbeat)
+        self.messages.on("fetch_document", self.heartbeats.on_fetch)
+        dispatcher.objection = self.objection
+
+    def objection(self) -> str:
+        """Return why nothing may be served now; empty where it may."""
+        return self.freshness.objection(boottime())
+
+    @contextlib.asynccontextmanager
+    async def open(self) -> AsyncIterator[list[Background]]:
+        """Open the links to the platform and the peers; yield the parts to run."""
+        settings = self._settings
+        async with (
+            open_store(settings.platform, self._on_platform_call) as store,
+            self.network.open(),
+        ):
+            follower = StoreFollower(settings, store, self.in_force, self.membership)
+            parts: list[Background] = [
+                PauseWatch(self.freshness, (self.news.soon, follower.soon)),
+                follower,
+                Registration(settings, store, self.membership.own, self.in_force),
+                self.heartbeats,
+                self.news,
+                SecretRefresh(self.secrets),
+            ]
+            if settings.platform.vm_list_url:
+                parts.append(VmWatch(self._dispatcher, store, settings.platform.poll_s))
+            yield parts
+
+    def _on_platform_call(self, kind: str) -> None:
+        self._metrics.platform_calls.labels(kind).inc()
--- a/src/sycamorebay/transport/heartbeats.py
+++ b/src/sycamorebay/transport/heartbeats.py
@@ -18,10 +18,11 @@
     FetchDocument,
     Heartbeat,
 )
-from sycamorebay.protocol.heartbeats import check_heartbeat, heartbeat_of, members_of
+from sycamorebay.protocol.heartbeats import check_heartbeat, heartbeat_of, members_of, news_of
 from sycamorebay.settings import Settings
 from sycamorebay.transport.clock import boottime
 from sycamorebay.transport.in_force import RevisionInForce
+from sycamorebay.transport.news import NewsDesk
 from sycamorebay.transport.peers import PeerNetwork
 
 ANSWER_LIMIT_S = 2.0
@@ -44,6 +45,8 @@
         Who the peers are.
     in_force : RevisionInForce
         The revision in force, and whether it is fresh.
+    news : NewsDesk
+        News of backend servers.
     metrics : Metrics
         Shows how many peers were heard lately.
     """
@@ -54,16 +57,17 @@
         network: PeerNetwork,
         membership: Membership,
         in_force: RevisionInForce,
+        news: NewsDesk,
         metrics: Metrics,
     ) -> None:
         self._settings = settings
         self._network = network
         self._membership = membership
         self._in_force = in_force
+        self._news = news
         self._metrics = metrics
         self._rng = random.Random()
         self._fetches: set[asyncio.Task[None]] = set()
-        self.soon = asyncio.Event()
 
     @property
     def round_s(self) -> float:
@@ -114,9 +118,9 @@
         wait_s = self._settings.heartbeat_s if settled else min(0.2, self._settings.heartbeat_s)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s * (0.9 + 0.2 * self._rng.random())):
-                await self.soon.wait()
+                await self._news.soon.wait()
                 await asyncio.sleep(_SOON_S * self._rng.random())
-        self.soon.clear()
+        self._news.soon.clear()
 
     def _targets(self) -> list[Member]:
         settled = self._in_force.freshness.settled
@@ -153,6 +157,7 @@
         sender = check_heartbeat(heartbeat)
         self._membership.on_heartbeat(now, sender)
         self._membership.on_hints(now, members_of(heartbeat))
+        self._news.on_told(news_of(heartbeat))
         self._in_force.freshness.on_known(now, heartbeat.revision)
         fetch = self._in_force.configuration.on_heard(
             now, sender.id, heartbeat.revision, heartbeat.digest or b""
@@ -181,4 +186,6 @@
         self._in_force.on_revision(Revision(reply.revision, text))
 
     def _heartbeat(self, members: list[Member] | None = None) -> Heartbeat:
-        return heartbeat_of(self._membership.own, self._in_force.configuration, members=members)
+        return heartbeat_of(
+            self._membership.own, self._in_force.configuration, self._news.outgoing(), members
+        )
--- a/src/sycamorebay/transport/in_force.py
+++ b/src/sycamorebay/transport/in_force.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 from sycamorebay import log
 from sycamorebay.coordination.configuration import Configuration, Revision
@@ -68,7 +69,7 @@
             return
         if document is None:
             return
-        self._dispatcher.on_document(now, document)
+        self._dispatcher.on_document(time.monotonic(), document)
         self.freshness.on_in_force(now, revision.number)
         self._metrics.revision.set(revision.number)
         self.changed.set()
--- a/src/sycamorebay/transport/platform.py
+++ b/src/sycamorebay/transport/platform.py
@@ -20,6 +20,8 @@
 from sycamorebay.settings import PlatformSettings
 from sycamorebay.transport.clock import boottime
 
+LEAVING = "leaving"
+
 
 @attrs.frozen
 class Stored:
@@ -56,6 +58,22 @@
     value: bytes | None
 
 
+@attrs.frozen
+class Vm:
+    """One VM of the platform's list: its address, and whether it is leaving."""
+
+    address: str
+    leaving: bool
+
+
+class VmList(Protocol):
+    """The platform's list of live and leaving VMs."""
+
+    async def vms(self) -> list[Vm]:
+        """Return the list; it lags."""
+        ...
+
+
 class Store(Protocol):
     """What this product needs of the platform's key-value service."""
 
@@ -191,6 +209,18 @@
             raise self._error("watch", error) from error
         raise PlatformError("the watch ended", step="watch", peer=self._settings.url)
 
+    async def vms(self) -> list[Vm]:
+        """Return the platform's list of VMs; it lags."""
+        await self._take_turn("/vms")
+        timeout = aiohttp.ClientTimeout(total=self._settings.timeout_s)
+        try:
+            async with self._session.get(self._settings.vm_list_url, timeout=timeout) as response:
+                response.raise_for_status()
+                found = await response.json()
+            return [Vm(str(one["address"]), one.get("state") == LEAVING) for one in found]
+        except (aiohttp.ClientError, OSError, ValueError, KeyError, TypeError) as error:
+            raise self._error("vms", error) from error
+
     async def _call(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
         await self._take_turn(path)
         timeout = aiohttp.ClientTimeout(total=self._settings.timeout_s)
--- a/tests/fast_fleet.py
+++ b/tests/fast_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 from bench.fleet import Fleet
@@ -27,3 +28,23 @@
     url = fleet.url(index) + "/prices/7"
     async with fleet.http.get(url, headers={"host": host}) as response:
         return response.status, await response.text()
+
+
+NO_PROBES = {"probes_per_entry": 0, "probes_per_backend_server": 0}
+LEAVER = "desk-1"
+
+
+def probes(fleet: Fleet, measuring: dict[str, Any]) -> dict[str, Any]:
+    """Return the fleet's document with another budget for probes."""
+    return {**fleet.document, "measuring": measuring}
+
+
+async def burst(fleet: Fleet, index: int) -> set[int]:
+    """Ask for more at once than the servers that one entry prefers have slots."""
+    asked = [get(fleet, index, "desk.test") for _ in range(40)]
+    return {status for status, _ in await asyncio.gather(*asked)}
+
+
+async def runs(fleet: Fleet) -> int:
+    """Return how many requests the leaving backend server was sent."""
+    return (await fleet.counted_by_backend())[LEAVER]["counts"].get("taken", 0)
--- /dev/null
+++ b/tests/test_membership_leaving.py
@@ -0,0 +1,36 @@
+"""Leaving backend servers, with real processes."""
+
+from __future__ import annotations
+
+import asyncio
+
+import testtools
+
+from bench.fleet import Fleet
+from tests.fast_fleet import ENTRIES, FAST, LEAVER, NO_PROBES, burst, probes, runs
+from tests.support import asynchronous, small_shape
+
+WITHIN_S = 3.0
+
+
+class LeavingTest(testtools.TestCase):
+    @asynchronous
+    async def test_one_entrys_sign_stops_new_work_at_every_entry_until_it_returns(self):
+        async with Fleet(small_shape(ENTRIES, **FAST)) as fleet:
+            fleet.apply(probes(fleet, NO_PROBES))
+            await fleet.until_in_force(range(ENTRIES), 2)
+            await fleet.control_backend(LEAVER, leaving=True)
+            await burst(fleet, 0)
+            await asyncio.sleep(WITHIN_S)
+            before = await runs(fleet)
+            self.assertGreater(before, 0)
+            for index in range(ENTRIES):
+                self.assertEqual({200}, await burst(fleet, index))
+            self.assertEqual(before, await runs(fleet))
+
+            await fleet.control_backend(LEAVER, leaving=False)
+            fleet.apply(probes(fleet, {}))
+            async with asyncio.timeout(30):
+                while await runs(fleet) == before:
+                    await burst(fleet, 1)
+                    await asyncio.sleep(0.3)
