--- a/src/sycamorebay/transport/daemon.py
+++ b/src/sycamorebay/transport/daemon.py
@@ -6,6 +6,7 @@
 import contextlib
 import random
 import signal
+from collections.abc import Callable
 
 import uvicorn
 
@@ -13,13 +14,13 @@
 from sycamorebay.coordination.assignment import Entry
 from sycamorebay.coordination.choose import CHOOSERS_BY_NAME
 from sycamorebay.coordination.dispatch import Dispatcher
-from sycamorebay.coordination.operations import Operations
 from sycamorebay.metrics import Metrics
 from sycamorebay.settings import Settings
 from sycamorebay.transport.background import Background, running
 from sycamorebay.transport.control import Control
 from sycamorebay.transport.forward import Forwarder
 from sycamorebay.transport.front import caller_server, server
+from sycamorebay.transport.keyed import KeyedOperations, open_operations
 from sycamorebay.transport.operators import Status, operator_app
 from sycamorebay.transport.probing import Probing
 from sycamorebay.transport.timing import Timers
@@ -44,6 +45,7 @@
         self._metrics = Metrics()
         self._dispatcher = Dispatcher(random.Random(), CHOOSERS_BY_NAME[settings.chooser]())
         self._control = Control(settings, self._dispatcher, self._metrics)
+        self._keyed_objection: Callable[[], str] = lambda: ""
         self._stopping = asyncio.Event()
 
     async def run(self) -> None:
@@ -52,16 +54,32 @@
         async with contextlib.AsyncExitStack() as stack:
             upstream = await stack.enter_async_context(open_upstream())
             control = await stack.enter_async_context(self._control.open())
-            forwarder = Forwarder(self._dispatcher, Operations(), upstream, self._metrics)
+            keyed = await stack.enter_async_context(self._open_operations())
+            forwarder = Forwarder(
+                self._dispatcher, keyed.operations, keyed.inquirer, upstream, self._metrics
+            )
+            self._control.messages.on("inquire", keyed.inquirer.on_inquire)
+            self._keyed_objection = keyed.objection
             background: list[Background] = [
                 *control,
                 Probing(self._dispatcher, upstream, self._metrics),
                 Timers(self._dispatcher, forwarder, self._entries),
+                keyed.registry,
             ]
             await stack.enter_async_context(running(background))
             await self._serve(forwarder)
+            await forwarder.operator.drain()
         _log.info("stopped")
 
+    def _open_operations(self) -> contextlib.AbstractAsyncContextManager[KeyedOperations]:
+        return open_operations(
+            self._settings,
+            self._control.membership.own,
+            self._control.network,
+            self._dispatcher.invariants,
+            self._control.on_platform_call,
+        )
+
     def _take_signals(self) -> None:
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -95,7 +113,7 @@
 
     def _status(self) -> Status:
         configuration = self._control.configuration
-        objection = self._control.objection()
+        objection = self._control.objection() or self._keyed_objection()
         for name, count in self._dispatcher.invariants.violations_by_name.items():
             self._metrics.violations.labels(name).set(count)
         return Status(
--- a/src/sycamorebay/transport/forward.py
+++ b/src/sycamorebay/transport/forward.py
@@ -23,7 +23,7 @@
     Request,
     Send,
 )
-from sycamorebay.coordination.operations import KeptAnswer, Operations
+from sycamorebay.coordination.operations import Operations
 from sycamorebay.metrics import Metrics
 from sycamorebay.outcomes import NotRun, Refusal, Unknown
 from sycamorebay.protocol import headers as names
@@ -36,7 +36,9 @@
     request_id_of,
 )
 from sycamorebay.protocol.problem import problem_body, problem_headers
-from sycamorebay.transport.operate import Operator
+from sycamorebay.state.operations import KeptAnswer
+from sycamorebay.transport.inquire import Inquirer
+from sycamorebay.transport.operate import Forwarding, Operator, StartedBody
 from sycamorebay.transport.upstream import (
     AttemptError,
     BackendAnswer,
@@ -91,7 +93,7 @@
 
     status: int
     headers: Headers
-    body: bytes | ForwardedBody
+    body: bytes | ForwardedBody | StartedBody
 
 
 @attrs.define
@@ -107,11 +109,6 @@
     backend_s: float = 0.0
     sent: bool = False
 
-    @staticmethod
-    def replay(kept: KeptAnswer) -> OutgoingAnswer:
-        """Return a kept answer as the caller gets it."""
-        return OutgoingAnswer(kept.status, list(kept.headers), kept.body)
-
 
 class ForwardedBody:
     """The body of a backend server's answer on its way to the caller.
@@ -194,6 +191,8 @@
         Decides where requests go.
     operations : Operations
         Decides whether keyed operations run.
+    inquirer : Inquirer
+        Asks peers about keyed operations.
     upstream : Upstream
         Reaches backend servers.
     metrics : Metrics
@@ -206,12 +205,16 @@
         self,
         dispatcher: Dispatcher,
         operations: Operations,
+        inquirer: Inquirer,
         upstream: Upstream,
         metrics: Metrics,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._dispatcher = dispatcher
-        self._operator = Operator(operations, self._run, self._refused, clock)
+        forwarding = Forwarding(
+            self._run_owned, self._refused, self._replayed, dispatcher.failure_domains
+        )
+        self.operator = Operator(operations, inquirer, forwarding)
         self._upstream = upstream
         self._metrics = metrics
         self._clock = clock
@@ -230,13 +233,20 @@
         self._metrics.requests.inc()
         exchange = self._open(incoming, arrived)
         key = header_value(incoming.headers, names.IDEMPOTENCY_KEY)
+        if key is None:
+            return await self._run_owned(exchange)
+        try:
+            await _read_body(exchange)
+        except CallerBodyError as error:
+            return self._refused(exchange, NotRun("read", "caller", str(error), 408))
+        return await self.operator.operate(exchange, key)
+
+    async def _run_owned(self, exchange: Exchange) -> OutgoingAnswer:
+        """Run a request; cancelling this gives it up."""
         self._by_request[exchange.request.id] = exchange
         try:
-            if exchange.body is None and incoming.has_body():
-                exchange.body = await incoming.read()
-            if key is None:
-                return await self._run(exchange)
-            return await self._operator.operate(exchange, key)
+            await _read_body(exchange)
+            return await self._run(exchange)
         except CallerBodyError as error:
             self._give_up(exchange)
             outcome = Unknown if exchange.sent else NotRun
@@ -352,6 +362,9 @@
         self._metrics.backend.observe(exchange.backend_s)
         self._metrics.added.observe(now - exchange.arrived - exchange.backend_s)
 
+    def _replayed(self, kept: KeptAnswer) -> OutgoingAnswer:
+        return OutgoingAnswer(kept.status, list(kept.headers), kept.body)
+
     def _refused(self, exchange: Exchange, refusal: Refusal) -> OutgoingAnswer:
         self._count_refusal(refusal, exchange.log_id)
         headers = problem_headers(refusal, exchange.log_id)
@@ -394,3 +407,8 @@
     if value is None or not value.isdecimal():
         return None
     return int(value[:9]) / 1000
+
+
+async def _read_body(exchange: Exchange) -> None:
+    if exchange.body is None and exchange.incoming.has_body():
+        exchange.body = await exchange.incoming.read()
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import signal
 
 import aiohttp
@@ -8,6 +9,7 @@
 from yarl import URL
 
 from bench.fleet import OPERATORS_PORT, Fleet
+from bench.load import new_key
 from tests.support import asynchronous, small_shape
 
 HOST = {"host": "desk.test"}
@@ -35,7 +37,8 @@
             self.assertEqual(9, (await response.json())["bytes"])
 
     async def check_operation(self, fleet: Fleet) -> None:
-        headers = {**HOST, "idempotency-key": "k", "sycamorebay-attempt": "1"}
+        key = new_key(random.Random(1))
+        headers = {**HOST, "idempotency-key": key, "sycamorebay-attempt": "1"}
         bodies = []
         for _ in range(2):
             async with fleet.http.post(fleet.url(0) + "/bids", headers=headers) as response:
@@ -43,7 +46,7 @@
                 bodies.append(await response.read())
         self.assertEqual(bodies[0], bodies[1])
         counted = await fleet.counted_by_backend()
-        self.assertEqual(1, sum(one["runs_by_key"].get("k", 0) for one in counted.values()))
+        self.assertEqual(1, sum(one["runs_by_key"].get(key, 0) for one in counted.values()))
 
     async def check_refused(self, fleet: Fleet) -> None:
         async with fleet.http.get(fleet.url(0) + "/", headers={"host": "no.test"}) as response:
