--- a/src/sycamorebay/coordination/dispatch.py
+++ b/src/sycamorebay/coordination/dispatch.py
@@ -48,6 +48,7 @@
     attempts: int = 0
     in_flight: dict[int, _Attempt] = attrs.field(factory=dict)
     answered: bool = False
+    may_have_run: bool = False
 
 
 @attrs.define(eq=False)
@@ -168,6 +169,7 @@
     def _after_failure(self, now: float, pending: _Pending, peer: str, failure: Failure) -> Action:
         if not failure.written:
             return self._again(now, pending, NotRun(failure.step, peer, failure.reason))
+        pending.may_have_run = True
         refusal = Unknown(failure.step, peer, failure.reason)
         if pending.route.idempotent:
             return self._again(now, pending, refusal)
@@ -266,6 +268,16 @@
             actions += self._pump(now, state)
         return actions
 
+    @property
+    def in_flight(self) -> int:
+        """Attempts whose slot is held."""
+        return len(self._by_attempt)
+
+    def is_idle(self) -> bool:
+        """Whether nothing is in flight and nothing waits."""
+        counted = sum(state.in_flight for state in self.backends)
+        return not (counted or self._by_request or self._by_attempt)
+
     def may_send(self, attempt_id: int) -> bool:
         """Whether an attempt's place is allowed still; asked before its first byte."""
         attempt = self._by_attempt.get(attempt_id)
@@ -368,6 +380,8 @@
 
     def _give_up(self, pending: _Pending, refusal: Refusal) -> Refuse:
         self._settle(pending)
+        if pending.may_have_run and isinstance(refusal, NotRun):
+            refusal = Unknown(refusal.step, refusal.peer, refusal.reason)
         return Refuse(pending.request.id, refusal)
 
     def _settle(self, pending: _Pending) -> None:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -74,6 +74,15 @@
         (refuse,) = made.on_failure(0.1, send.attempt_id, Failure("answer", True, "lost"))
         self.assertEqual("unknown", refuse.refusal.tag)
 
+    def test_not_run_is_never_said_once_an_attempt_may_have_run(self):
+        for last in (Answer(503, shed=True), Failure("connect", False, "refused")):
+            made = dispatcher()
+            (send,) = made.on_request(0.0, price())
+            (send,) = made.on_failure(0.1, send.attempt_id, Failure("answer", True, "lost"))
+            event = made.on_answer if isinstance(last, Answer) else made.on_failure
+            (refuse,) = event(0.2, send.attempt_id, last)
+            self.assertEqual("unknown", refuse.refusal.tag)
+
     def test_retries_stay_within_their_budget(self):
         made = dispatcher()
         sends = 0
