--- a/src/sycamorebay/coordination/dispatch.py
+++ b/src/sycamorebay/coordination/dispatch.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from itertools import count
 from random import Random
 
@@ -66,6 +66,10 @@
         return self.pending.route.work != LONG
 
 
+def _no_objection() -> str:
+    return ""
+
+
 class Dispatcher:
     """Decides for each request of one entry.
 
@@ -91,6 +95,7 @@
         self.backends = BackendTable()
         self.services = ServiceTable()
         self.document: Document | None = None
+        self.objection: Callable[[], str] = _no_objection
         self._entries = Entries()
         self._by_request: dict[int, _Pending] = {}
         self._by_attempt: dict[int, _Attempt] = {}
@@ -118,6 +123,8 @@
 
     def on_request(self, now: float, request: Request) -> list[Action]:
         """Take a caller's request."""
+        if objection := self.objection():
+            return [self._refuse(request.id, "configuration", "", objection)]
         if self.document is None:
             return [self._refuse(request.id, "configuration", "", "no configuration is in force")]
         service = self.document.service_for(request.host)
@@ -168,7 +175,9 @@
 
     def _after_failure(self, now: float, pending: _Pending, peer: str, failure: Failure) -> Action:
         if not failure.written:
-            return self._again(now, pending, NotRun(failure.step, peer, failure.reason))
+            return self._again(
+                now, pending, NotRun(failure.step, peer, failure.reason), body_left=True
+            )
         pending.may_have_run = True
         refusal = Unknown(failure.step, peer, failure.reason)
         if pending.route.idempotent:
@@ -281,7 +290,7 @@
     def may_send(self, attempt_id: int) -> bool:
         """Whether an attempt's place is allowed still; asked before its first byte."""
         attempt = self._by_attempt.get(attempt_id)
-        if attempt is None or self.document is None:
+        if attempt is None or self.document is None or self.objection():
             return False
         server = attempt.backend.server
         service = self.document.service_for(attempt.pending.request.host)
@@ -369,12 +378,15 @@
         self._count(attempt, 1)
         return Send(pending.request.id, attempt.id, backend.server, pending.deadline)
 
-    def _again(self, now: float, pending: _Pending, refusal: Refusal) -> Action:
+    def _again(
+        self, now: float, pending: _Pending, refusal: Refusal, *, body_left: bool = False
+    ) -> Action:
         if pending.attempts < MAX_ATTEMPTS and now < pending.deadline:
             candidates = self._usable(now, pending)
             if pending.route.work == LONG:
                 candidates = self._with_room(pending, candidates)
-            if pending.request.replayable and candidates and pending.service.retries.take():
+            sendable = body_left or pending.request.replayable
+            if sendable and candidates and pending.service.retries.take():
                 return self._send(now, pending, candidates)
         return self._give_up(pending, refusal)
 
--- /dev/null
+++ b/src/sycamorebay/transport/in_force.py
@@ -0,0 +1,76 @@
+"""Puts accepted revisions in force at this entry."""
+
+from __future__ import annotations
+
+import asyncio
+
+from sycamorebay import log
+from sycamorebay.coordination.configuration import Configuration, Revision
+from sycamorebay.coordination.dispatch import Dispatcher
+from sycamorebay.coordination.freshness import Freshness
+from sycamorebay.errors import DocumentError, PlatformError
+from sycamorebay.metrics import Metrics
+from sycamorebay.protocol.revisions import decode_record
+from sycamorebay.transport.clock import boottime
+
+_log = log.part("configuration")
+
+
+class RevisionInForce:
+    """Takes revisions from the store and from peers.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        Decides whether a revision is newer.
+    freshness : Freshness
+        Is told which revisions exist and which is in force.
+    dispatcher : Dispatcher
+        Gets the document.
+    metrics : Metrics
+        Shows the revision's number.
+    """
+
+    def __init__(
+        self,
+        configuration: Configuration,
+        freshness: Freshness,
+        dispatcher: Dispatcher,
+        metrics: Metrics,
+    ) -> None:
+        self.configuration = configuration
+        self.freshness = freshness
+        self.changed = asyncio.Event()
+        self._dispatcher = dispatcher
+        self._metrics = metrics
+        self._rejected: set[int] = set()
+
+    def on_value(self, value: bytes) -> None:
+        """Take the value that the store holds."""
+        try:
+            revision = decode_record(value).revision
+        except PlatformError as error:
+            _log.error("stored value rejected", step=error.step, reason=str(error))
+            return
+        self.on_revision(revision)
+
+    def on_revision(self, revision: Revision) -> None:
+        """Take a revision; put it in force where it is newer."""
+        now = boottime()
+        self.freshness.on_known(now, revision.number)
+        if revision.number in self._rejected:
+            return
+        try:
+            document = self.configuration.on_revision(now, revision)
+        except DocumentError as error:
+            self._rejected.add(revision.number)
+            _log.error("revision rejected", revision=revision.number, reason=str(error))
+            return
+        if document is None:
+            return
+        self._dispatcher.on_document(now, document)
+        self.freshness.on_in_force(now, revision.number)
+        self._metrics.revision.set(revision.number)
+        self.changed.set()
+        digest = self.configuration.digest
+        _log.info("revision in force", revision=revision.number, digest=digest)
--- a/src/sycamorebay/transport/probing.py
+++ b/src/sycamorebay/transport/probing.py
@@ -11,6 +11,7 @@
 from sycamorebay.coordination.probe import Probe
 from sycamorebay.metrics import Metrics
 from sycamorebay.protocol.headers import load_report
+from sycamorebay.state.backends import LoadReport
 from sycamorebay.transport.upstream import AttemptError, OutgoingRequest, Upstream
 
 LOAD_TARGET = "/load"
@@ -20,45 +21,71 @@
 _log = log.part("probing")
 
 
-async def run_prober(
-    dispatcher: Dispatcher,
-    upstream: Upstream,
-    metrics: Metrics,
-    clock: Callable[[], float] = time.monotonic,
-) -> None:
-    """Send probes as the budget allows, until cancelled."""
-    async with asyncio.TaskGroup() as probes:
-        while True:
-            metrics.probe_budget.set(dispatcher.prober.rate)
-            while (probe := dispatcher.prober.next_probe(clock())) is not None:
-                metrics.probes.inc()
-                probes.create_task(_ask(dispatcher, upstream, probe, clock))
-            await asyncio.sleep(TICK_S)
+class Probing:
+    """Sends probes as the budget allows.
 
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Decides whom to probe, and takes the answers.
+    upstream : Upstream
+        Reaches backend servers.
+    metrics : Metrics
+        Counts probes.
+    clock : callable
+        Time in seconds, never going back.
+    """
 
-async def _ask(
-    dispatcher: Dispatcher, upstream: Upstream, probe: Probe, clock: Callable[[], float]
-) -> None:
-    server = probe.backend_server
-    request = OutgoingRequest(
-        address=server.address,
-        method="GET",
-        target=LOAD_TARGET,
-        headers=[("host", server.address)],
-        body=None,
-        time_left_s=PROBE_TIMEOUT_S,
-    )
-    try:
-        answer = await upstream.send(request, lambda: dispatcher.may_probe(server))
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        upstream: Upstream,
+        metrics: Metrics,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._upstream = upstream
+        self._metrics = metrics
+        self._clock = clock
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        prober = self._dispatcher.prober
+        async with asyncio.TaskGroup() as probes:
+            while True:
+                self._metrics.probe_budget.set(prober.rate)
+                while (probe := prober.next_probe(self._clock())) is not None:
+                    self._metrics.probes.inc()
+                    probes.create_task(self._ask(probe))
+                await asyncio.sleep(TICK_S)
+
+    async def _ask(self, probe: Probe) -> None:
+        server = probe.backend_server
+        request = OutgoingRequest(
+            address=server.address,
+            method="GET",
+            target=LOAD_TARGET,
+            headers=[("host", server.address)],
+            body=None,
+            length=None,
+            deadline=self._clock() + PROBE_TIMEOUT_S,
+        )
+        try:
+            report = await self._report(request, lambda: self._dispatcher.may_probe(server))
+        except (AttemptError, OSError, ValueError, TimeoutError) as error:
+            _log.info("probe failed", step="probe", peer=server.id, reason=str(error))
+            self._dispatcher.on_probe_failure(self._clock(), server.id)
+        else:
+            self._dispatcher.on_probe_answer(self._clock(), server.id, report)
+
+    async def _report(
+        self, request: OutgoingRequest, may_send: Callable[[], bool]
+    ) -> LoadReport | None:
+        answer = await self._upstream.send(request, may_send)
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 async for _ in answer.chunks():
                     pass
         finally:
-            await answer.release()
-        report = load_report(dict(answer.headers))
-    except (AttemptError, OSError, ValueError, TimeoutError) as error:
-        _log.info("probe failed", step="probe", peer=server.id, reason=str(error))
-        dispatcher.on_probe_failure(clock(), server.id)
-    else:
-        dispatcher.on_probe_answer(clock(), server.id, report)
+            answer.release()
+        return load_report(dict(answer.headers))
