--- a/src/sycamorebay/coordination/dispatch.py
+++ b/src/sycamorebay/coordination/dispatch.py
@@ -156,7 +156,9 @@
         self._judge(now, attempt, answer)
         if not answer.shed:
             self._settle(pending)
-            return [Deliver(pending.request.id, attempt_id)]
+            losers = self._cancel(pending, but=attempt_id)
+            pumped = self._pump(now, pending.service) if losers else []
+            return [Deliver(pending.request.id, attempt_id), *losers, *pumped]
         self._release(attempt)
         refusal = NotRun("backend", state.server.id, "the backend server shed the request")
         return [self._again(now, pending, refusal), *self._pump(now, pending.service)]
@@ -205,11 +207,13 @@
             return []
         if not pending.answered:
             self._settle(pending)
-        attempts = list(pending.in_flight.values())
+        return [*self._cancel(pending), *self._pump(now, pending.service)]
+
+    def _cancel(self, pending: _Pending, but: int | None = None) -> list[Action]:
+        attempts = [attempt for attempt in pending.in_flight.values() if attempt.id != but]
         for attempt in attempts:
             self._release(attempt)
-        cancels: list[Action] = [Cancel(request_id, attempt.id) for attempt in attempts]
-        return [*cancels, *self._pump(now, pending.service)]
+        return [Cancel(pending.request.id, attempt.id) for attempt in attempts]
 
     def _delivering(self, request_id: int) -> _Pending | None:
         for attempt in self._by_attempt.values():
@@ -271,7 +275,11 @@
         while self._timers and self._timers[0][0] <= now:
             _, request_id = heapq.heappop(self._timers)
             pending = self._by_request.get(request_id)
-            if pending is not None and self._queue_of(pending).remove(request_id):
+            if pending is None:
+                continue
+            if pending.in_flight:
+                actions += self._hedge(now, pending)
+            elif self._queue_of(pending).remove(request_id):
                 actions.append(self._give_up(pending, self._overload(pending)))
         for state in self.services:
             actions += self._pump(now, state)
@@ -367,7 +375,9 @@
             return [state for state in usable if service.has_long_slot(state)]
         return usable if service.limit.has_room(service.short.in_flight) else []
 
-    def _send(self, now: float, pending: _Pending, candidates: list[BackendState]) -> Send:
+    def _send(
+        self, now: float, pending: _Pending, candidates: list[BackendState], *, hedge: bool = False
+    ) -> Send:
         backend = self._chooser.choose(now, candidates, self._rng)
         self.invariants.check(pending.service.service.allows(backend.server), "placement")
         attempt = _Attempt(next(self._attempt_ids), backend, pending, now)
@@ -376,11 +386,42 @@
         pending.in_flight[attempt.id] = attempt
         self._by_attempt[attempt.id] = attempt
         self._count(attempt, 1)
-        return Send(pending.request.id, attempt.id, backend.server, pending.deadline)
+        if hedge:
+            self.invariants.check(pending.route.idempotent, "hedge idempotent")
+        elif self._may_hedge(pending):
+            after_s = pending.service.outliers.times.hedge_after_s()
+            heapq.heappush(self._timers, (now + after_s, pending.request.id))
+        return Send(pending.request.id, attempt.id, backend.server, pending.deadline, hedge)
+
+    @staticmethod
+    def _may_hedge(pending: _Pending) -> bool:
+        service = pending.service
+        return (
+            pending.route.idempotent
+            and pending.route.work != LONG
+            and pending.attempts == 1
+            and pending.request.replayable
+            and service.hedges.ratio > 0
+            and service.outliers.times.mean_s > 0
+        )
+
+    def _hedge(self, now: float, pending: _Pending) -> list[Action]:
+        """Send a second attempt beside the first where that is likely to help."""
+        service = pending.service
+        if len(pending.in_flight) != 1 or not self._may_hedge(pending):
+            return []
+        if service.limit.is_crowded or not service.limit.has_room(service.short.in_flight):
+            return []
+        candidates = self._usable(now, pending)
+        if now >= pending.deadline or not candidates or not service.hedges.take():
+            return []
+        return [self._send(now, pending, candidates, hedge=True)]
 
     def _again(
         self, now: float, pending: _Pending, refusal: Refusal, *, body_left: bool = False
     ) -> Action:
+        if pending.in_flight:
+            return Enqueue(pending.request.id, pending.deadline)
         if pending.attempts < MAX_ATTEMPTS and now < pending.deadline:
             candidates = self._usable(now, pending)
             if pending.route.work == LONG:
@@ -427,6 +468,7 @@
             return
         attempt.served = True
         service.retries.on_served()
+        service.hedges.on_served()
         if attempt.is_short:
             seconds = now - attempt.sent_at
             overdue = seconds > service.outliers.times.overdue_s()
--- a/src/sycamorebay/coordination/limit.py
+++ b/src/sycamorebay/coordination/limit.py
@@ -57,6 +57,11 @@
         """Requests that may be in flight."""
         return self._limit
 
+    @property
+    def is_crowded(self) -> bool:
+        """Whether backend servers have more work than they should."""
+        return self._crowded > _CROWDED_SHARE / 2
+
     def resize(self, slots: int, entries: int) -> None:
         """Take a new number of slots or of entries."""
         self._highest = max(1.0, slots * CROWDED_FACTOR)
--- a/src/sycamorebay/coordination/messages.py
+++ b/src/sycamorebay/coordination/messages.py
@@ -87,12 +87,15 @@
         Where to.
     deadline : float
         When the request's time is up, in seconds on the caller's clock of events.
+    hedge : bool
+        Whether it goes out beside an attempt that is still in flight.
     """
 
     request_id: int
     attempt_id: int
     backend_server: BackendServer
     deadline: float
+    hedge: bool = False
 
 
 @attrs.frozen
--- a/src/sycamorebay/coordination/outliers.py
+++ b/src/sycamorebay/coordination/outliers.py
@@ -11,6 +11,7 @@
 _FAILURE_FACTOR = 2.0
 _SLOW_FACTOR = 3.0
 _DEVIATIONS = 8.0
+_HEDGE_DEVIATIONS = 3.0
 _SMOOTHING = 0.05
 
 
@@ -35,6 +36,10 @@
         self.deviation_s += _SMOOTHING * (abs(bounded_s - self.mean_s) - self.deviation_s)
         self.mean_s += _SMOOTHING * (bounded_s - self.mean_s)
 
+    def hedge_after_s(self) -> float:
+        """Return the time after which few answers are still to come."""
+        return self.mean_s + _HEDGE_DEVIATIONS * self.deviation_s
+
     def overdue_s(self) -> float:
         """Return the time from which an answer is an outlier; infinite while none came."""
         if self.mean_s == 0.0:
--- a/src/sycamorebay/coordination/service.py
+++ b/src/sycamorebay/coordination/service.py
@@ -47,6 +47,7 @@
         self.service = service
         self.backends: list[BackendState] = []
         self.retries = RetryBudget(service.limits.retry_ratio)
+        self.hedges = RetryBudget(service.limits.hedge_ratio)
         self.limit = AdaptiveLimit(self._slots(service))
         self.short = WorkState()
         self.long = WorkState()
@@ -58,6 +59,7 @@
         self.service = service
         self.backends = [state for state in backends if service.allows(state.server)]
         self.retries.ratio = service.limits.retry_ratio
+        self.hedges.ratio = service.limits.hedge_ratio
         self.limit.resize(self._slots(service), len(entries))
         share = service.limits.long_share
         servers = [state.server for state in self.backends]
--- a/src/sycamorebay/metrics.py
+++ b/src/sycamorebay/metrics.py
@@ -38,6 +38,9 @@
         self.attempts = Counter(
             "sycamorebay_attempts", "Attempts sent to backend servers.", registry=self.registry
         )
+        self.hedges = Counter(
+            "sycamorebay_hedges", "Hedges sent to backend servers.", registry=self.registry
+        )
         self.added = Histogram(
             "sycamorebay_added_seconds",
             "Time that this entry added before the answer's head.",
--- a/src/sycamorebay/transport/forward.py
+++ b/src/sycamorebay/transport/forward.py
@@ -36,6 +36,7 @@
     request_id_of,
 )
 from sycamorebay.protocol.problem import problem_body, problem_headers
+from sycamorebay.transport.hedging import Race
 from sycamorebay.transport.operate import Operator
 from sycamorebay.transport.upstream import (
     AttemptError,
@@ -93,6 +94,11 @@
     headers: Headers
     body: bytes | ForwardedBody
 
+    def discard(self) -> None:
+        """Drop an answer that no caller gets."""
+        if isinstance(self.body, ForwardedBody):
+            self.body.close()
+
 
 @attrs.define
 class Exchange:
@@ -106,6 +112,8 @@
     mailbox: asyncio.Future[Action] | None = None
     backend_s: float = 0.0
     sent: bool = False
+    race: Race[OutgoingAnswer] | None = None
+    first_sent: float = 0.0
 
     @staticmethod
     def replay(kept: KeptAnswer) -> OutgoingAnswer:
@@ -270,7 +278,11 @@
         )
         log_id = request_id_of(incoming.headers) or f"{self._id_prefix}-{request_id}"
         body = incoming.chunks() if streamed else None
-        return Exchange(incoming, request, log_id, arrived, body)
+        exchange = Exchange(incoming, request, log_id, arrived, body)
+        exchange.race = Race(
+            lambda send: self._attempt(exchange, send), self._carry_out, OutgoingAnswer.discard
+        )
+        return exchange
 
     def _give_up(self, exchange: Exchange) -> None:
         self._carry_out(self._dispatcher.on_caller_gone(self._clock(), exchange.request.id))
@@ -285,7 +297,8 @@
                 return self._refused(exchange, action.refusal)
             if not isinstance(action, Send):
                 raise RuntimeError(f"no request can follow {action}")
-            answer, actions = await self._attempt(exchange, action)
+            assert exchange.race is not None
+            answer, actions = await exchange.race.run(action)
             if answer is not None:
                 return answer
 
@@ -293,7 +306,11 @@
         self, exchange: Exchange, send: Send
     ) -> tuple[OutgoingAnswer | None, list[Action]]:
         self._metrics.attempts.inc()
-        started = self._clock()
+        if send.hedge:
+            self._metrics.hedges.inc()
+        else:
+            exchange.first_sent = self._clock()
+        started = exchange.first_sent
         attempt_id = send.attempt_id
 
         def may_send() -> bool:
@@ -384,9 +401,13 @@
     def _carry_out(self, actions: list[Action]) -> None:
         for action in actions:
             exchange = self._by_request.get(action.request_id)
-            mailbox = exchange.mailbox if exchange is not None else None
+            if exchange is None:
+                continue
+            mailbox = exchange.mailbox
             if mailbox is not None and not mailbox.done():
                 mailbox.set_result(action)
+            elif isinstance(action, Send) and exchange.race is not None:
+                exchange.race.on_send(action)
 
 
 def _deadline_s(headers: Headers) -> float | None:
