--- a/bench/policy.py
+++ b/bench/policy.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import json
 import os
 import statistics
@@ -197,6 +198,7 @@
 @click.option("--seconds", default=5.0)
 def run(scenario: str, variants: tuple[str, ...], seeds: int, seconds: float) -> None:
     """Run variants, all where none is named, and keep their results."""
+    gc.disable()
     chosen = SCENARIOS_BY_NAME[scenario]
     for name in variants or [variant.name for variant in chosen.variants]:
         results = asyncio.run(Bench(chosen, chosen.variant(name)).run(seeds, seconds))
--- a/src/sycamorebay/coordination/choose.py
+++ b/src/sycamorebay/coordination/choose.py
@@ -171,11 +171,16 @@
         See `LoadEstimate`.
     own_slot_bonus : float
         Load per slot that a free slot of this entry's own outweighs.
+    far_cost : float
+        Load per slot that a server in another failure domain counts for.
     """
 
-    def __init__(self, horizon: float = 4.0, own_slot_bonus: float = 0.4) -> None:
+    def __init__(
+        self, horizon: float = 4.0, own_slot_bonus: float = 0.4, far_cost: float = 0.02
+    ) -> None:
         self._estimate = LoadEstimate(horizon)
         self._own_slot_bonus = own_slot_bonus
+        self._far_cost = far_cost
 
     def choose(self, now: float, candidates: Sequence[BackendState], rng: Random) -> BackendState:
         """Return one of `candidates`."""
@@ -189,6 +194,8 @@
             load = self._estimate.load(now, state, others)
             if state.in_flight < state.own_slots:
                 load -= self._own_slot_bonus
+            if not state.near:
+                load += self._far_cost
             if load < least:
                 best, least = state, load
         return best
--- a/src/sycamorebay/coordination/service.py
+++ b/src/sycamorebay/coordination/service.py
@@ -66,6 +66,7 @@
         own_slots = assigned_slots(servers, entries, lambda server: server.slots)
         for state in self.backends:
             state.own_slots = own_slots[state.server.id]
+            state.near = state.server.failure_domain == entries.own.failure_domain
         self.own_long_slots = assigned_slots(
             servers, entries, lambda server: long_slots(server, share), at_least_one=True
         )
--- a/src/sycamorebay/state/backends.py
+++ b/src/sycamorebay/state/backends.py
@@ -53,6 +53,8 @@
         This entry's own requests in flight when the report came, and the rest of the report.
     own_slots : int
         Slots dealt to this entry.
+    near : bool
+        Whether it is in this entry's failure domain.
     health : Health
         Failures, ejection and return.
     restricted : bool
@@ -73,6 +75,7 @@
     own_at_report: int = 0
     others_at_report: int = 0
     own_slots: int = 0
+    near: bool = True
     answer_s: float = 0.0
     health: Health = attrs.field(factory=Health)
     restricted: bool = False
