Let long work move though no slot dealt to the entry is usable; deal far slots in one hand

Found by reading: where several failure domains have no entry, each dealt its slots from the first entry on, so that the first ones got several and the last ones none.

--- a/src/sycamorebay/coordination/assignment.py
+++ b/src/sycamorebay/coordination/assignment.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable, Sequence
 
 import attrs
-import xxhash
 
 from sycamorebay.state.document import BackendServer
 
@@ -51,13 +50,13 @@
     def __len__(self) -> int:
         return max(1, sum(map(len, self.by_domain.values())))
 
-    def near(self, failure_domain: str) -> list[Entry]:
+    def near(self, failure_domain: str) -> tuple[Entry, ...]:
         """Return the entries in a failure domain, or all where it has none."""
         found = self.by_domain.get(failure_domain)
         if found:
-            return found
+            return tuple(found)
         everyone = [entry for entries in self.by_domain.values() for entry in entries]
-        return sorted(everyone, key=lambda entry: entry.id) or [self.own]
+        return tuple(sorted(everyone, key=lambda entry: entry.id)) or (self.own,)
 
 
 def long_slots(server: BackendServer, long_share: float) -> int:
@@ -66,11 +65,7 @@
 
 
 def assigned_slots(
-    servers: Sequence[BackendServer],
-    entries: Entries,
-    slots_of: Callable[[BackendServer], int],
-    *,
-    at_least_one: bool = False,
+    servers: Sequence[BackendServer], entries: Entries, slots_of: Callable[[BackendServer], int]
 ) -> Counter[str]:
     """Return how many slots of each server are this entry's.
 
@@ -85,19 +80,15 @@
         Who gets them.
     slots_of : callable
         Slots of one server that are dealt.
-    at_least_one : bool
-        Whether an entry that gets none takes one all the same.
     """
+    servers_by_entries: dict[tuple[Entry, ...], list[BackendServer]] = {}
+    for server in servers:
+        near = entries.near(server.failure_domain)
+        servers_by_entries.setdefault(near, []).append(server)
     own: Counter[str] = Counter()
-    dealt: list[str] = []
-    for failure_domain in sorted({server.failure_domain for server in servers}):
-        hand = _in_turn([s for s in servers if s.failure_domain == failure_domain], slots_of)
-        near = entries.near(failure_domain)
-        dealt += hand
+    for near, group in servers_by_entries.items():
         if entries.own in near:
-            own.update(hand[near.index(entries.own) :: len(near)])
-    if at_least_one and not own and dealt:
-        own[dealt[xxhash.xxh32_intdigest(entries.own.id.encode()) % len(dealt)]] = 1
+            own.update(_in_turn(group, slots_of)[near.index(entries.own) :: len(near)])
     return own
 
 
--- a/src/sycamorebay/coordination/dispatch.py
+++ b/src/sycamorebay/coordination/dispatch.py
@@ -156,9 +156,11 @@
         self._judge(now, attempt, answer)
         if not answer.shed:
             self._settle(pending)
+            deliver = Deliver(pending.request.id, attempt_id)
+            if len(pending.in_flight) == 1:
+                return [deliver]
             losers = self._cancel(pending, but=attempt_id)
-            pumped = self._pump(now, pending.service) if losers else []
-            return [Deliver(pending.request.id, attempt_id), *losers, *pumped]
+            return [deliver, *losers, *self._pump(now, pending.service)]
         self._release(attempt)
         refusal = NotRun("backend", state.server.id, "the backend server shed the request")
         return [self._again(now, pending, refusal), *self._pump(now, pending.service)]
@@ -262,7 +264,7 @@
     def next_timer(self) -> float | None:
         """Return when `on_timer` wants to be called, or None."""
         first = self._timers[0][0] if self._timers else None
-        if not self._by_attempt:
+        if not self._by_attempt and not self._by_request:
             return first
         check = self._checked_at + HEALTH_CHECK_S
         return check if first is None else min(first, check)
@@ -372,7 +374,8 @@
     def _with_room(self, pending: _Pending, usable: list[BackendState]) -> list[BackendState]:
         service = pending.service
         if pending.route.work == LONG:
-            return [state for state in usable if service.has_long_slot(state)]
+            own = [state for state in usable if service.has_long_slot(state)]
+            return own if own or service.long.in_flight else usable
         return usable if service.limit.has_room(service.short.in_flight) else []
 
     def _send(
--- a/src/sycamorebay/coordination/service.py
+++ b/src/sycamorebay/coordination/service.py
@@ -68,7 +68,7 @@
             state.own_slots = own_slots[state.server.id]
             state.near = state.server.failure_domain == entries.own.failure_domain
         self.own_long_slots = assigned_slots(
-            servers, entries, lambda server: long_slots(server, share), at_least_one=True
+            servers, entries, lambda server: long_slots(server, share)
         )
 
     @staticmethod
--- a/tests/test_admit.py
+++ b/tests/test_admit.py
@@ -127,8 +127,31 @@
             self.assertEqual(2, sum(own[f"desk-{number}"] for own in dealt))
 
     def test_an_entry_without_a_long_slot_of_its_own_still_gets_one(self):
-        for index in range(13):
-            self.assertEqual(1, own_slots(f"entry-{index}", slots=1, entries=13).total())
+        everyone = [Entry(f"entry-{n}") for n in range(13)]
+        for entry in everyone:
+            made = with_long_work(servers=6)
+            made.on_entries(0.0, entry, everyone)
+            actions = [made.on_request(0.0, batch(number))[0] for number in range(4)]
+            sent = sum(isinstance(action, Send) for action in actions)
+            self.assertEqual(1, sent)
+
+    def test_long_work_moves_though_the_server_of_its_slot_is_leaving(self):
+        made = with_long_work(servers=6)
+        everyone = [Entry(f"entry-{n}") for n in range(6)]
+        made.on_entries(0.0, everyone[0], everyone)
+        (first,) = made.on_request(0.0, batch(1))
+        made.on_leaving(0.0, first.backend_server.id)
+        made.on_answer(0.1, first.attempt_id, Answer(200))
+        made.on_end(0.1, first.attempt_id)
+        self.assertIsInstance(made.on_request(0.2, batch(2))[0], Send)
+
+    def test_waiting_work_goes_out_when_an_ejected_server_is_back(self):
+        made = with_long_work(servers=2)
+        sends = [made.on_request(0.0, batch(number))[0] for number in range(3)]
+        self.assertIsInstance(sends[2], Enqueue)
+        made.on_caller_gone(0.1, 0)
+        made.on_caller_gone(0.1, 1)
+        self.assertEqual(1, made.in_flight)
 
     def test_slots_go_to_entries_of_their_failure_domain(self):
         dealt = [own_slots(f"entry-{n}", slots=2, entries=4) for n in (0, 2)]
@@ -140,7 +163,7 @@
     everyone = [Entry(f"entry-{n}", "ab"[n % 2]) for n in range(entries)]
     own = next(entry for entry in everyone if entry.id == entry_id)
     known = Entries.of(own, everyone)
-    return assigned_slots(servers, known, lambda s: s.slots, at_least_one=True)
+    return assigned_slots(servers, known, lambda s: s.slots)
 
 
 class LimitTest(testtools.TestCase):
