--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 READY = $(VENV)/.ready
 
-.PHONY: install test check demo bench schema generate lock
+.PHONY: install test check demo bench bench-policy schema generate lock
 
 install: $(READY)
 
@@ -24,6 +24,13 @@
 demo: install
 	$(BIN)/python -m bench.demo
 
+bench-policy: install
+	$(BIN)/python -m bench.decision_cost
+	for scenario in choice overload crest long-work slow-server failing-server; do \
+		$(BIN)/python -m bench.policy run $$scenario || exit 1; \
+	done
+	$(BIN)/python -m bench.report
+
 generate:
 	thrift -r --gen py:slots -out src/sycamorebay/protocol/generated src/sycamorebay/protocol/peers.thrift
 
--- a/src/sycamorebay/state/document.py
+++ b/src/sycamorebay/state/document.py
@@ -82,8 +82,8 @@
         Largest share of backend servers that may be ejected.
     """
 
-    queue_length: int = 64
-    long_share: float = 0.5
+    queue_length: int = 16
+    long_share: float = 0.25
     retry_ratio: float = 0.1
     hedge_ratio: float = 0.05
     eject_share: float = 0.3
