--- a/src/sycamorebay/coordination/dispatch.py
+++ b/src/sycamorebay/coordination/dispatch.py
@@ -29,7 +29,7 @@
 from sycamorebay.coordination.service import LONG, ServiceState, ServiceTable
 from sycamorebay.outcomes import NotRun, Refusal, Unknown
 from sycamorebay.state.backends import BackendState, BackendTable, LoadReport
-from sycamorebay.state.document import BackendServer, Document, Route
+from sycamorebay.state.document import Document, Route
 
 MAX_ATTEMPTS = 3
 SERVER_ERROR_STATUS = 500
@@ -151,6 +151,8 @@
         state = attempt.backend
         if answer.report is not None:
             state.on_report(now, answer.report, in_answer=True)
+            if answer.report.leaving:
+                self.prober.ask_first(state)
         pending = attempt.pending
         self._note_crowding(attempt, answer)
         self._judge(now, attempt, answer)
@@ -228,6 +230,8 @@
         state = self.backends.get(server_id)
         if state is not None:
             state.on_report(now, report)
+            if report.leaving:
+                self.prober.ask_first(state)
         return []
 
     def on_probe_answer(
@@ -242,16 +246,12 @@
         self.prober.on_done(server_id)
         return []
 
-    def may_probe(self, server: BackendServer) -> bool:
-        """Whether a backend server is in the document still; asked before the first byte."""
-        state = self.backends.get(server.id)
-        return state is not None and state.server.address == server.address
-
     def on_leaving(self, now: float, server_id: str) -> list[Action]:
         """Take the word of a peer, or of the list of VMs, that a backend server is leaving."""
         state = self.backends.get(server_id)
         if state is not None:
             state.on_told_leaving(now)
+            self.prober.ask_first(state)
         return []
 
     def leaving(self, now: float) -> list[str]:
--- a/src/sycamorebay/coordination/probe.py
+++ b/src/sycamorebay/coordination/probe.py
@@ -13,6 +13,7 @@
 
 _MOST_SKIPPED = 32
 _EXACT = 1e-6
+_NEVER = float("-inf")
 
 
 @attrs.frozen
@@ -61,6 +62,8 @@
 class Prober:
     """Decides which backend server is asked next: in turn, those whose report is old.
 
+    One that is leaving is asked first, so that its return is seen.
+
     Parameters
     ----------
     invariants : Invariants
@@ -72,6 +75,8 @@
         self._budget: ProbeBudget | None = None
         self._measuring = Measuring()
         self._turn: deque[BackendState] = deque()
+        self._first: deque[BackendState] = deque()
+        self._ids: set[str] = set()
         self._asked_at_by_id: dict[str, float] = {}
         self._in_flight: set[str] = set()
         self._last_at = float("-inf")
@@ -88,8 +93,9 @@
         self._budget.set_rate(now, measuring.probes_per_entry)
         self._measuring = measuring
         self._turn = deque(states)
-        ids = {state.server.id for state in self._turn}
-        self._asked_at_by_id = {k: v for k, v in self._asked_at_by_id.items() if k in ids}
+        self._first = deque(state for state in self._turn if state.restricted)
+        self._ids = {state.server.id for state in self._turn}
+        self._asked_at_by_id = {k: v for k, v in self._asked_at_by_id.items() if k in self._ids}
 
     def next_probe(self, now: float) -> Probe | None:
         """Return the probe to send now, or None."""
@@ -105,15 +111,29 @@
         self._in_flight.add(server.id)
         return Probe(server)
 
+    def may_ask(self, server: BackendServer) -> bool:
+        """Whether a backend server is in an allowed place still; asked before the first byte."""
+        return any(state.server == server for state in self._turn)
+
     def on_done(self, server_id: str) -> None:
         """Take the end of a probe, whether it brought an answer or not."""
         self._in_flight.discard(server_id)
 
+    def ask_first(self, state: BackendState) -> None:
+        """Ask a backend server before others until it takes its usual work again."""
+        if state.server.id in self._ids and state not in self._first:
+            self._first.append(state)
+
     def _next_state(self, now: float, interval_s: float) -> BackendState | None:
-        for _ in range(min(_MOST_SKIPPED, len(self._turn))):
-            state = self._turn[0]
-            self._turn.rotate(-1)
-            heard_at = max(state.reported_at, self._asked_at_by_id.get(state.server.id, -1e9))
+        while self._first and not self._first[0].restricted:
+            self._first.popleft()
+        return self._due(now, interval_s, self._first) or self._due(now, interval_s, self._turn)
+
+    def _due(self, now: float, interval_s: float, turn: deque[BackendState]) -> BackendState | None:
+        for _ in range(min(_MOST_SKIPPED, len(turn))):
+            state = turn[0]
+            turn.rotate(-1)
+            heard_at = max(state.reported_at, self._asked_at_by_id.get(state.server.id, _NEVER))
             if now - heard_at >= interval_s and state.server.id not in self._in_flight:
                 return state
         return None
--- a/src/sycamorebay/state/document.py
+++ b/src/sycamorebay/state/document.py
@@ -101,8 +101,8 @@
         Probes per second that one backend server may get from one entry.
     """
 
-    probes_per_entry: float = 20.0
-    probes_per_backend_server: float = 2.0
+    probes_per_entry: float = 5.0
+    probes_per_backend_server: float = 1.0
 
 
 @attrs.frozen
