--- a/src/sycamorebay/coordination/dispatch.py
+++ b/src/sycamorebay/coordination/dispatch.py
@@ -29,7 +29,7 @@
 from sycamorebay.coordination.service import LONG, ServiceState, ServiceTable
 from sycamorebay.outcomes import NotRun, Refusal, Unknown
 from sycamorebay.state.backends import BackendState, BackendTable, LoadReport
-from sycamorebay.state.document import BackendServer, Document, Route
+from sycamorebay.state.document import Document, Route
 
 MAX_ATTEMPTS = 3
 SERVER_ERROR_STATUS = 500
@@ -48,6 +48,7 @@
     attempts: int = 0
     in_flight: dict[int, _Attempt] = attrs.field(factory=dict)
     answered: bool = False
+    may_have_run: bool = False
 
 
 @attrs.define(eq=False)
@@ -150,12 +151,18 @@
         state = attempt.backend
         if answer.report is not None:
             state.on_report(now, answer.report, in_answer=True)
+            if answer.report.leaving:
+                self.prober.ask_first(state)
         pending = attempt.pending
         self._note_crowding(attempt, answer)
         self._judge(now, attempt, answer)
         if not answer.shed:
             self._settle(pending)
-            return [Deliver(pending.request.id, attempt_id)]
+            deliver = Deliver(pending.request.id, attempt_id)
+            if len(pending.in_flight) == 1:
+                return [deliver]
+            losers = self._cancel(pending, but=attempt_id)
+            return [deliver, *losers, *self._pump(now, pending.service)]
         self._release(attempt)
         refusal = NotRun("backend", state.server.id, "the backend server shed the request")
         return [self._again(now, pending, refusal), *self._pump(now, pending.service)]
@@ -177,6 +184,7 @@
             return self._again(
                 now, pending, NotRun(failure.step, peer, failure.reason), body_left=True
             )
+        pending.may_have_run = True
         refusal = Unknown(failure.step, peer, failure.reason)
         if pending.route.idempotent:
             return self._again(now, pending, refusal)
@@ -203,11 +211,13 @@
             return []
         if not pending.answered:
             self._settle(pending)
-        attempts = list(pending.in_flight.values())
+        return [*self._cancel(pending), *self._pump(now, pending.service)]
+
+    def _cancel(self, pending: _Pending, but: int | None = None) -> list[Action]:
+        attempts = [attempt for attempt in pending.in_flight.values() if attempt.id != but]
         for attempt in attempts:
             self._release(attempt)
-        cancels: list[Action] = [Cancel(request_id, attempt.id) for attempt in attempts]
-        return [*cancels, *self._pump(now, pending.service)]
+        return [Cancel(pending.request.id, attempt.id) for attempt in attempts]
 
     def _delivering(self, request_id: int) -> _Pending | None:
         for attempt in self._by_attempt.values():
@@ -220,6 +230,8 @@
         state = self.backends.get(server_id)
         if state is not None:
             state.on_report(now, report)
+            if report.leaving:
+                self.prober.ask_first(state)
         return []
 
     def failure_domains(self, host: str) -> tuple[str, ...]:
@@ -239,16 +251,12 @@
         self.prober.on_done(server_id)
         return []
 
-    def may_probe(self, server: BackendServer) -> bool:
-        """Whether a backend server is in the document still; asked before the first byte."""
-        state = self.backends.get(server.id)
-        return state is not None and state.server.address == server.address
-
     def on_leaving(self, now: float, server_id: str) -> list[Action]:
         """Take the word of a peer, or of the list of VMs, that a backend server is leaving."""
         state = self.backends.get(server_id)
         if state is not None:
             state.on_told_leaving(now)
+            self.prober.ask_first(state)
         return []
 
     def leaving(self, now: float) -> list[str]:
@@ -261,7 +269,7 @@
     def next_timer(self) -> float | None:
         """Return when `on_timer` wants to be called, or None."""
         first = self._timers[0][0] if self._timers else None
-        if not self._by_attempt:
+        if not self._by_attempt and not self._by_request:
             return first
         check = self._checked_at + HEALTH_CHECK_S
         return check if first is None else min(first, check)
@@ -274,12 +282,26 @@
         while self._timers and self._timers[0][0] <= now:
             _, request_id = heapq.heappop(self._timers)
             pending = self._by_request.get(request_id)
-            if pending is not None and self._queue_of(pending).remove(request_id):
+            if pending is None:
+                continue
+            if pending.in_flight:
+                actions += self._hedge(now, pending)
+            elif self._queue_of(pending).remove(request_id):
                 actions.append(self._give_up(pending, self._overload(pending)))
         for state in self.services:
             actions += self._pump(now, state)
         return actions
 
+    @property
+    def in_flight(self) -> int:
+        """Attempts whose slot is held."""
+        return len(self._by_attempt)
+
+    def is_idle(self) -> bool:
+        """Whether nothing is in flight and nothing waits."""
+        counted = sum(state.in_flight for state in self.backends)
+        return not (counted or self._by_request or self._by_attempt)
+
     def may_send(self, attempt_id: int) -> bool:
         """Whether an attempt's place is allowed still; asked before its first byte."""
         attempt = self._by_attempt.get(attempt_id)
@@ -357,10 +379,13 @@
     def _with_room(self, pending: _Pending, usable: list[BackendState]) -> list[BackendState]:
         service = pending.service
         if pending.route.work == LONG:
-            return [state for state in usable if service.has_long_slot(state)]
+            own = [state for state in usable if service.has_long_slot(state)]
+            return own if own or service.long.in_flight else usable
         return usable if service.limit.has_room(service.short.in_flight) else []
 
-    def _send(self, now: float, pending: _Pending, candidates: list[BackendState]) -> Send:
+    def _send(
+        self, now: float, pending: _Pending, candidates: list[BackendState], *, hedge: bool = False
+    ) -> Send:
         backend = self._chooser.choose(now, candidates, self._rng)
         self.invariants.check(pending.service.service.allows(backend.server), "placement")
         attempt = _Attempt(next(self._attempt_ids), backend, pending, now)
@@ -369,11 +394,42 @@
         pending.in_flight[attempt.id] = attempt
         self._by_attempt[attempt.id] = attempt
         self._count(attempt, 1)
-        return Send(pending.request.id, attempt.id, backend.server, pending.deadline)
+        if hedge:
+            self.invariants.check(pending.route.idempotent, "hedge idempotent")
+        elif self._may_hedge(pending):
+            after_s = pending.service.outliers.times.hedge_after_s()
+            heapq.heappush(self._timers, (now + after_s, pending.request.id))
+        return Send(pending.request.id, attempt.id, backend.server, pending.deadline, hedge)
+
+    @staticmethod
+    def _may_hedge(pending: _Pending) -> bool:
+        service = pending.service
+        return (
+            pending.route.idempotent
+            and pending.route.work != LONG
+            and pending.attempts == 1
+            and pending.request.replayable
+            and service.hedges.ratio > 0
+            and service.outliers.times.mean_s > 0
+        )
+
+    def _hedge(self, now: float, pending: _Pending) -> list[Action]:
+        """Send a second attempt beside the first where that is likely to help."""
+        service = pending.service
+        if len(pending.in_flight) != 1 or not self._may_hedge(pending):
+            return []
+        if service.limit.is_crowded or not service.limit.has_room(service.short.in_flight):
+            return []
+        candidates = self._usable(now, pending)
+        if now >= pending.deadline or not candidates or not service.hedges.take():
+            return []
+        return [self._send(now, pending, candidates, hedge=True)]
 
     def _again(
         self, now: float, pending: _Pending, refusal: Refusal, *, body_left: bool = False
     ) -> Action:
+        if pending.in_flight:
+            return Enqueue(pending.request.id, pending.deadline)
         if pending.attempts < MAX_ATTEMPTS and now < pending.deadline:
             candidates = self._usable(now, pending)
             if pending.route.work == LONG:
@@ -385,6 +441,8 @@
 
     def _give_up(self, pending: _Pending, refusal: Refusal) -> Refuse:
         self._settle(pending)
+        if pending.may_have_run and isinstance(refusal, NotRun):
+            refusal = Unknown(refusal.step, refusal.peer, refusal.reason)
         return Refuse(pending.request.id, refusal)
 
     def _settle(self, pending: _Pending) -> None:
@@ -418,6 +476,7 @@
             return
         attempt.served = True
         service.retries.on_served()
+        service.hedges.on_served()
         if attempt.is_short:
             seconds = now - attempt.sent_at
             overdue = seconds > service.outliers.times.overdue_s()
--- a/tests/fast_fleet.py
+++ b/tests/fast_fleet.py
@@ -34,14 +34,19 @@
 LEAVER = "desk-1"
 
 
+BURST = 40
+
+
 def probes(fleet: Fleet, measuring: dict[str, Any]) -> dict[str, Any]:
-    """Return the fleet's document with another budget for probes."""
-    return {**fleet.document, "measuring": measuring}
+    """Return the fleet's document with another budget for probes, and queues for a burst."""
+    limits = {"queue_length": BURST}
+    services = [{**one, "limits": limits} for one in fleet.document["services"]]
+    return {**fleet.document, "services": services, "measuring": measuring}
 
 
 async def burst(fleet: Fleet, index: int) -> set[int]:
     """Ask for more at once than the servers that one entry prefers have slots."""
-    asked = [get(fleet, index, "desk.test") for _ in range(40)]
+    asked = [get(fleet, index, "desk.test") for _ in range(BURST)]
     return {status for status, _ in await asyncio.gather(*asked)}
 
 
