--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,9 @@
 demo: install
 	$(BIN)/python -m bench.demo
 
+bench: install
+	$(BIN)/python -m bench.speed --write
+
 generate:
 	thrift -r --gen py:slots -out src/sycamorebay/protocol/generated src/sycamorebay/protocol/peers.thrift
 
