--- a/src/sycamorebay/transport/front.py
+++ b/src/sycamorebay/transport/front.py
@@ -218,6 +218,7 @@
         access_log=False,
         server_header=False,
         date_header=False,
+        proxy_headers=False,
         backlog=2048,
         timeout_graceful_shutdown=max(1, round(stop_limit_s)),
     )
--- a/tests/test_forward_headers.py
+++ b/tests/test_forward_headers.py
@@ -56,6 +56,13 @@
             for name in ("user-agent", "accept", "accept-encoding", "content-length", "connection"):
                 self.assertIsNone(exchange.header(name), name)
 
+    @on_uvloop
+    async def test_the_caller_is_who_connected_whatever_it_says(self):
+        async with one_entry(answer_ok) as entry:
+            await entry.get("/prices", headers="x-forwarded-for: 192.0.2.1\r\n")
+            made = entry.backends[0].exchanges[0]
+        self.assertEqual("192.0.2.1, 127.0.0.1", made.header("x-forwarded-for"))
+
     @on_uvloop
     async def test_the_request_id_reaches_server_and_caller(self):
         async with one_entry(answer_ok) as entry:
