--- a/bench/load.py
+++ b/bench/load.py
@@ -18,6 +18,7 @@
 MAX_SENDS = 5
 _MAX_US = 120_000_000
 LATE_MS = 20.0
+DOWN_S = 1.0
 
 
 @attrs.frozen
@@ -75,11 +76,21 @@
     def __init__(self, urls: list[str]) -> None:
         self._urls = urls
         self._next = 0
+        self._down_until_by_url: dict[str, float] = {}
 
     def pick(self) -> str:
-        """Return the next entry."""
-        self._next = (self._next + 1) % len(self._urls)
-        return self._urls[self._next]
+        """Return the next entry that is not known to be down."""
+        now = time.monotonic()
+        for _ in self._urls:
+            self._next = (self._next + 1) % len(self._urls)
+            url = self._urls[self._next]
+            if self._down_until_by_url.get(url, 0.0) <= now:
+                break
+        return url
+
+    def on_unreached(self, url: str) -> None:
+        """Take that an entry accepted no connection."""
+        self._down_until_by_url[url] = time.monotonic() + DOWN_S
 
 
 class Load:
@@ -158,12 +169,13 @@
         if kind.keyed:
             headers["idempotency-key"] = token
             headers["sycamorebay-attempt"] = "1" if first else "2"
-        url = self._balancer.pick() + kind.target
+        entry = self._balancer.pick()
         try:
-            async with session.request(kind.method, url, headers=headers) as response:
+            async with session.request(kind.method, entry + kind.target, headers=headers) as response:
                 body = await response.read()
                 return self._outcome(response, body, token)
         except aiohttp.ClientConnectorError:
+            self._balancer.on_unreached(entry)
             return "unreached", "connect", 0.0
         except (aiohttp.ClientError, TimeoutError, OSError):
             return "lost", "answer", 0.5
