--- a/bench/load.py
+++ b/bench/load.py
@@ -171,7 +171,9 @@
             headers["sycamorebay-attempt"] = "1" if first else "2"
         entry = self._balancer.pick()
         try:
-            async with session.request(kind.method, entry + kind.target, headers=headers) as response:
+            async with session.request(
+                kind.method, entry + kind.target, headers=headers
+            ) as response:
                 body = await response.read()
                 return self._outcome(response, body, token)
         except aiohttp.ClientConnectorError:
