--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -18,6 +18,7 @@
     "scrapes",
     "forwarding",
     "latency",
+    "probes",
     "members",
     "platform",
     "revisions",
--- a/bench/capacity/configuration.py
+++ b/bench/capacity/configuration.py
@@ -15,10 +15,12 @@
 from sycamorebay.coordination.configuration import Configuration, Revision
 from sycamorebay.coordination.dispatch import Dispatcher
 from sycamorebay.protocol.revisions import (
+    MAX_TRAIL_ENTRIES,
     AuditEntry,
     RevisionRecord,
     decode_record,
     encode_record,
+    encode_trail,
 )
 from sycamorebay.state.document import digest_of, load_document
 
@@ -26,18 +28,20 @@
 SERVICES = (20, 41, 82)
 FIXED_SERVICES = 10
 FIXED_INSTANCES = 630
-TRAIL_ENTRIES = (1, 50, 200)
+TRAIL_ENTRIES = (10, 100, MAX_TRAIL_ENTRIES)
 REPEATS = 5
 COMMAND_REPEATS = 3
 
 
 def measure(results: Results) -> None:
     """Measure the group."""
-    sizes = [[float(len(_value(int(n), FIXED_SERVICES, 0))) for n in INSTANCES]]
-    results.add_slope("configuration.value", "B", "instance", INSTANCES, sizes)
-    services = [[float(len(_value(FIXED_INSTANCES, int(n), 0))) for n in SERVICES]]
+    texts = [[float(len(document_text(int(n), FIXED_SERVICES))) for n in INSTANCES]]
+    results.add_slope("configuration.text", "B", "instance", INSTANCES, texts)
+    values = [[_value_bytes(int(n), FIXED_SERVICES) for n in INSTANCES]]
+    results.add_slope("configuration.value", "B", "instance", INSTANCES, values)
+    services = [[_value_bytes(FIXED_INSTANCES, int(n)) for n in SERVICES]]
     results.add_slope("configuration.value_services", "B", "service", SERVICES, services)
-    trail = [[float(len(_value(30, FIXED_SERVICES, int(n)))) for n in TRAIL_ENTRIES]]
+    trail = [[_trail_bytes(int(n)) for n in TRAIL_ENTRIES]]
     results.add_slope("configuration.trail", "B", "change kept", TRAIL_ENTRIES, trail)
     for name, work in (("decode", _decode_s), ("check", _check_s), ("swap", _swap_s)):
         costs = repeated(work, INSTANCES, REPEATS)
@@ -49,22 +53,31 @@
     results.add_slope("configuration.command_memory", "B", "instance", INSTANCES, memory)
 
 
-def _value(instances: int, services: int, trail_entries: int) -> bytes:
-    text = document_text(instances, services)
+def _value(instances: int, services: int) -> bytes:
+    revision = Revision(1_000_000, document_text(instances, services))
+    return encode_record(RevisionRecord(revision, "0" * 32))
+
+
+def _value_bytes(instances: int, services: int) -> float:
+    return float(len(_value(instances, services)))
+
+
+def _trail_bytes(entries: int) -> float:
     entry = AuditEntry(
         revision=1_000_000,
-        digest=digest_of(text),
+        from_revision=999_999,
+        digest=digest_of(b""),
         author="on-call.operator",
         reason="two more instances for lot-desk before the evening's bids",
         at="2030-01-01T00:00:00+00:00",
         action="promote",
+        nonce="0" * 32,
     )
-    revision = Revision(1_000_000, text)
-    return encode_record(RevisionRecord(revision, "0" * 32, (entry,) * trail_entries))
+    return float(len(encode_trail((entry,) * entries)))
 
 
 def _decode_s(instances: float) -> float:
-    value = _value(int(instances), FIXED_SERVICES, max(TRAIL_ENTRIES))
+    value = _value(int(instances), FIXED_SERVICES)
     started = time.process_time()
     decode_record(value)
     return time.process_time() - started
--- a/bench/capacity/entries.py
+++ b/bench/capacity/entries.py
@@ -15,10 +15,14 @@
 from bench.capacity.caller import QUANTILES
 from bench.capacity.documents import DOMAINS, ROUTES
 from bench.fleet import CALLERS_PORT, ROOT, Fleet, Shape, service
+from sycamorebay.settings import PlatformSettings
+from sycamorebay.transport import admin
+from sycamorebay.transport.platform import open_store
 
 HOST = "desk.test"
 SERVERS = 8
 SLOTS = 500
+ENVIRONMENT = "production"
 
 
 @attrs.frozen
@@ -61,8 +65,12 @@
 
 
 def shape(entries: int, servers: int = SERVERS, backend_processes: int = 4) -> Shape:
-    """Return a fleet whose backend servers answer at once."""
-    document = {"format": 1, "services": [service("desk", servers, SLOTS, DOMAINS, ROUTES)]}
+    """Return a fleet that does not probe and whose backend servers answer at once."""
+    document = {
+        "format": 1,
+        "services": [service("desk", servers, SLOTS, DOMAINS, ROUTES)],
+        "measuring": {"probes_per_entry": 0, "probes_per_backend_server": 0},
+    }
     behaviour = {"work_ms": 0.0, "queue": 1000}
     return Shape(entries, document, backend_processes, behaviour)
 
@@ -115,6 +123,14 @@
     return Calls(**json.loads(output))
 
 
+async def change(fleet: Fleet, text: bytes) -> int:
+    """Make a change as the operators' command line does; return its revision."""
+    wanted = admin.Change(text, "apply", "operator", "one more instance for the evening")
+    async with open_store(PlatformSettings(url=fleet.platform_url)) as store:
+        accepted = await admin.apply(store, ENVIRONMENT, wanted)
+    return accepted.entry.revision
+
+
 @asynccontextmanager
 async def fleet_of(
     entries: int, servers: int = SERVERS, backend_processes: int = 4, **platform: Any
--- a/bench/capacity/members.py
+++ b/bench/capacity/members.py
@@ -12,7 +12,7 @@
 from bench.capacity.slopes import Results
 from bench.fleet import Fleet
 
-ENTRIES = (4, 8, 13, 24)
+ENTRIES = (8, 13, 24)
 REPEATS = 2
 SETTLE_S = 2.0
 CALM_S = 4.0
--- a/bench/capacity/platform.py
+++ b/bench/capacity/platform.py
@@ -8,7 +8,8 @@
 
 import attrs
 
-from bench.capacity.entries import fleet_of
+from bench.capacity.documents import document_text
+from bench.capacity.entries import change, fleet_of
 from bench.capacity.slopes import Results
 from bench.fleet import Fleet
 
@@ -19,6 +20,10 @@
 CALM_S = 3.0
 OUTAGE_S = 4.0
 RECOVERY_S = 3.0
+CHANGES = 4
+CHANGE_S = 0.5
+INSTANCES = 30
+SERVICES = 10
 
 
 @attrs.frozen
@@ -33,11 +38,14 @@
         Calls in the busiest second of a start and after an outage.
     calm : float
         Calls a second.
+    change : float
+        Calls for each change of the document, the operator's own among them.
     """
 
     start: float
     start_peak: float
     calm: float
+    change: float
     outage_end_peak: float
 
 
@@ -45,6 +53,7 @@
     "start": "calls",
     "start_peak": "calls/s",
     "calm": "calls/s",
+    "change": "calls",
     "outage_end_peak": "calls/s",
 }
 
@@ -70,8 +79,19 @@
         await asyncio.sleep(CALM_S)
         after = await _counted(fleet)
         calm = (_total(after) - _total(before)) / (time.monotonic() - started)
+        change = await _calls_per_change(fleet, calm)
         peak = await _outage_end_peak(fleet)
-        return Calls(_total(at_start), _peak(at_start, 0), calm, peak)
+        return Calls(_total(at_start), _peak(at_start, 0), calm, change, peak)
+
+
+async def _calls_per_change(fleet: Fleet, calm: float) -> float:
+    before = _total(await _counted(fleet))
+    started = time.monotonic()
+    for variant in range(CHANGES):
+        await change(fleet, document_text(INSTANCES, SERVICES, variant))
+        await asyncio.sleep(CHANGE_S)
+    elapsed = time.monotonic() - started
+    return (_total(await _counted(fleet)) - before - calm * elapsed) / CHANGES
 
 
 async def _outage_end_peak(fleet: Fleet) -> float:
--- a/bench/capacity/revisions.py
+++ b/bench/capacity/revisions.py
@@ -3,25 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import time
 
 from bench.capacity.documents import document_text
-from bench.capacity.entries import fleet_of, usage
+from bench.capacity.entries import change, fleet_of, usage
 from bench.capacity.slopes import Results
 from bench.fleet import Fleet
-from sycamorebay.settings import PlatformSettings
-from sycamorebay.transport import admin
-from sycamorebay.transport.platform import open_store
 
 INSTANCES = (30, 150, 630)
 SERVICES = 10
 CHANGES = 8
+CHANGE_S = 0.2
 REPEATS = 2
 ENTRIES = (2, 6, 12)
 IN_FORCE_CHANGES = 5
 LIMIT_S = 20.0
-ENVIRONMENT = "production"
+LOOK_S = 0.02
+
+_variants = itertools.count(1)
 
 
 def measure(results: Results) -> None:
@@ -45,30 +46,30 @@
 
 
 async def _change_cost(fleet: Fleet, instances: int) -> tuple[float, float]:
-    """Return an entry's processor time and bytes per change."""
+    """Return an entry's processor time and bytes for each change."""
     before = usage(fleet)
     for _ in range(CHANGES):
-        await _change(fleet, instances)
+        revision = await change(fleet, document_text(instances, SERVICES, next(_variants)))
+        await asyncio.sleep(CHANGE_S)
+    await _until_in_force(fleet, revision)
     used = usage(fleet) - before
     return used.cpu_s / CHANGES, used.io_bytes / CHANGES
 
 
 async def _in_force_s(fleet: Fleet) -> float:
+    """Return the time from a change's acceptance until every entry has it in force."""
+    text = document_text(INSTANCES[-1], SERVICES, next(_variants))
+    revision = await change(fleet, text)
     started = time.monotonic()
-    await _change(fleet, INSTANCES[-1])
+    await _until_in_force(fleet, revision)
     return time.monotonic() - started
 
 
-async def _change(fleet: Fleet, instances: int) -> None:
-    """Make a change and wait until every entry has it in force."""
-    text = document_text(instances, SERVICES)
-    change = admin.Change(text, "apply", "operator", "one more instance for the evening")
-    async with open_store(PlatformSettings(url=fleet.platform_url)) as store:
-        record = await admin.apply(store, ENVIRONMENT, change)
+async def _until_in_force(fleet: Fleet, revision: int) -> None:
     async with asyncio.timeout(LIMIT_S):
         for index in range(fleet.shape.entries):
-            while await _revision(fleet, index) < record.revision.number:  # noqa: ASYNC110
-                await asyncio.sleep(0.02)
+            while await _revision(fleet, index) < revision:  # noqa: ASYNC110
+                await asyncio.sleep(LOOK_S)
 
 
 async def _revision(fleet: Fleet, index: int) -> int:
--- a/bench/capacity/rows_calls.py
+++ b/bench/capacity/rows_calls.py
@@ -125,6 +125,22 @@
             "as above",
         )
     )
+    own = results.slope("latency.metric_share").cost_at(middle)
+    made.append(
+        Row(
+            FORWARDING,
+            "messages",
+            "late calls that `sycamorebay_added_seconds` counts as in bound",
+            max(0.0, own - share.cost_at(middle)) * 100,
+            "%",
+            MEASURED,
+            "`latency.metric_share` - `latency.share_in_bound`; bound: 1 %, set here",
+            "metrics",
+            1.0,
+            "count from the first byte read to the answer's head written, without the backend"
+            " server's time, so that the listener's and the client's work is in it",
+        )
+    )
     return [*made, *_depth(median.cost_at(middle), late)]
 
 
@@ -248,7 +264,19 @@
         Row(
             CHOICE,
             "state",
-            "calls between two answers of one backend server as one entry sees it",
+            "entries that share one slot of a service of average size",
+            entries / (DESIGN.instances / DESIGN.services * ASSUMED.slots_per_instance),
+            "entries",
+            SUPPOSED,
+            "entries / (630/82 x 4 slots); slots are dealt to entries, and above 1 some have none",
+            "coordination.assignment",
+            1.0,
+            "fewer entries for each service: those of the instance's failure domain, or a subset",
+        ),
+        Row(
+            CHOICE,
+            "state",
+            "time between two answers of one backend server at one entry",
             entries * DESIGN.instances / DESIGN.calls_per_s,
             "s",
             COMPUTED,
--- a/bench/capacity/rows_control.py
+++ b/bench/capacity/rows_control.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-import importlib.util
+import math
+
+import attrs
 
 from bench.capacity.rows import ASSUMED as SUPPOSED
 from bench.capacity.rows import COMPUTED, MEASURED, Row
@@ -10,9 +12,11 @@
 from bench.capacity.size import ASSUMED, DESIGN, PLATFORM, SECONDS_PER_DAY
 from bench.capacity.slopes import Results
 from sycamorebay.coordination import operations
+from sycamorebay.coordination.membership import DEAD_AFTER_ROUNDS
+from sycamorebay.protocol.revisions import MAX_TRAIL_ENTRIES
+from sycamorebay.settings import PeerSettings, Settings
 from sycamorebay.state.document import Measuring
-from sycamorebay.transport import admin
-from sycamorebay.transport.forward import MAX_KEPT_ANSWER_BYTES
+from sycamorebay.transport.operate import MAX_KEPT_ANSWER_BYTES
 
 PROBES = "entry: probes"
 OPERATIONS = "entry: operations at most once"
@@ -24,6 +28,8 @@
 HOURS_PER_DAY = 24
 TRAIL_HOURS = 24.0
 LABEL_SETS = 30
+FAN_OUT: int = attrs.fields_dict(PeerSettings)["fan_out"].default
+HEARTBEAT_S: float = attrs.fields_dict(Settings)["heartbeat_s"].default
 
 
 def rows(results: Results) -> list[Row]:
@@ -39,10 +45,8 @@
 
 
 def value_bytes(results: Results) -> float:
-    """Return bytes of the store's value at the design size, its audit trail full."""
-    document = results.slope("configuration.value_services").at(DESIGN.services)
-    trail = results.slope("configuration.trail").slope() * admin.MAX_TRAIL_ENTRIES
-    return document + trail
+    """Return bytes of the document's value in the store at the design size."""
+    return results.slope("configuration.value_services").cost_at(DESIGN.services)
 
 
 def _pushed_bytes_per_s(results: Results) -> float:
@@ -56,24 +60,57 @@
 
 
 def _probes(results: Results) -> list[Row]:
-    mechanism = "coordination.probe"
-    built = importlib.util.find_spec(f"sycamorebay.{mechanism}") is not None
-    most = entries_needed(results) * Measuring().probes_per_backend_server
+    per_entry = Measuring().probes_per_entry
+    each = per_entry / DESIGN.instances
+    most = entries_needed(results) * min(Measuring().probes_per_backend_server, each)
     calls = DESIGN.calls_per_s / DESIGN.instances
+    spent = results.slope("probes.time").slope()
     return [
         Row(
             PROBES,
             "messages",
-            "probes that one backend server may get from all entries",
+            "probes that one backend server gets from all entries",
             most,
             "probes/s",
             COMPUTED,
-            "entries x 2 probes/s, the document's default; bound: a tenth of the"
-            f" {calls:.0f} calls/s that it gets at the crest",
-            mechanism if built else "",
+            f"entries x {per_entry:g} probes/s, the document's default, / 630; bound: a tenth of"
+            f" the {calls:.0f} calls/s that it gets at the crest",
+            "coordination.probe",
             calls / 10,
             "a budget for the whole fleet, divided by the entries alive",
-        )
+        ),
+        Row(
+            PROBES,
+            "state",
+            "age of a report at one entry, were probes its only source",
+            1 / each,
+            "s",
+            COMPUTED,
+            f"630 / {per_entry:g} probes/s",
+            "coordination.probe",
+        ),
+        Row(
+            PROBES,
+            "processor",
+            "one probe",
+            spent * MS,
+            "ms",
+            MEASURED,
+            "`probes.time`",
+            "transport.probing",
+        ),
+        Row(
+            PROBES,
+            "processor",
+            "share of a core for probes, the whole budget used",
+            spent * per_entry * 100,
+            "% of a core",
+            COMPUTED,
+            f"`probes.time` x {per_entry:g}",
+            "transport.probing",
+            DESIGN.control_core_share * 100,
+            "a smaller budget, or cheaper probes over UDP",
+        ),
     ]
 
 
@@ -141,31 +178,43 @@
 def _configuration(results: Results) -> list[Row]:
     pushed = _pushed_bytes_per_s(results)
     change_s = _change_s(results)
-    trail_hours = admin.MAX_TRAIL_ENTRIES / DESIGN.changes_per_day * HOURS_PER_DAY
+    trail_hours = MAX_TRAIL_ENTRIES / DESIGN.changes_per_day * HOURS_PER_DAY
+    trail = results.slope("configuration.trail").cost_at(MAX_TRAIL_ENTRIES)
     return [
         Row(
             CONFIGURATION,
             "state",
-            "value in the store, its audit trail full",
+            "value of the document in the store",
             value_bytes(results) / MB,
             "MB",
-            COMPUTED,
-            f"`configuration.value_services` + {admin.MAX_TRAIL_ENTRIES} x `configuration.trail`",
+            MEASURED,
+            "`configuration.value_services` at 630 instances in 82 services, compressed",
+            "protocol.revisions",
+            PLATFORM.value_bytes / MB,
+        ),
+        Row(
+            CONFIGURATION,
+            "state",
+            "value of the audit trail in the store, full",
+            trail / MB,
+            "MB",
+            MEASURED,
+            f"`configuration.trail` at {MAX_TRAIL_ENTRIES} changes, reasons of 57 characters",
             "protocol.revisions",
             PLATFORM.value_bytes / MB,
         ),
         Row(
             CONFIGURATION,
             "state",
-            "hours of changes missing from a day's audit trail in the store",
+            "hours of the last day that the audit trail in the store leaves out",
             max(0.0, TRAIL_HOURS - trail_hours),
             "h",
             COMPUTED,
-            f"{admin.MAX_TRAIL_ENTRIES} entries reach back {trail_hours:.1f} h at 2,900 changes a"
-            " day; bound: none of the last day missing",
+            f"{MAX_TRAIL_ENTRIES} entries reach back {trail_hours:.1f} h at 2,900 changes a"
+            " day; bound: none, set here",
             "transport.admin",
             0.0,
-            "shorter entries in a key of their own, written in the same transaction",
+            "a key for each few hundred entries; until then the log of the command line keeps them",
         ),
         Row(
             CONFIGURATION,
@@ -177,7 +226,7 @@
             "value x 4/3 (base64) x 2,900 a day",
             "transport.platform",
             DESIGN.control_bytes_per_s,
-            "watch a small key with number and digest; send differences, not the whole document",
+            "differences in place of whole documents",
         ),
         Row(
             CONFIGURATION,
@@ -189,7 +238,7 @@
             "value x 4/3 x 20 a minute",
             "transport.platform",
             DESIGN.control_bytes_per_s,
-            "as above; fetch the newest revision only, at most once in some seconds",
+            "watch a small key with number and digest; fetch the newest, once in some seconds",
         ),
         Row(
             CONFIGURATION,
@@ -229,7 +278,7 @@
         Row(
             CONFIGURATION,
             "messages",
-            "time from acceptance until in force at 12 entries, all up",
+            "time from acceptance until in force at 12 entries, all up, 630 instances",
             results.slope("revisions.in_force").cost_at(12),
             "s",
             MEASURED,
@@ -258,7 +307,7 @@
         Row(
             MEMBERSHIP,
             "processor",
-            "an entry without callers: heartbeats, leases, watch",
+            "an entry without callers or probes: heartbeats, leases, watch",
             results.slope("members.core_share").at(entries) * 100,
             "% of a core",
             COMPUTED,
@@ -277,9 +326,24 @@
             "2 x (entries - 1)",
             "transport.peers",
         ),
+        Row(
+            MEMBERSHIP,
+            "state",
+            "time until peers alone miss an entry that vanished",
+            DEAD_AFTER_ROUNDS * _round_s(entries),
+            "s",
+            COMPUTED,
+            f"{DEAD_AFTER_ROUNDS} rounds of (entries - 1) / {FAN_OUT} heartbeats; the platform's"
+            " service tells it when the lease of 10 s lapses",
+            "coordination.membership",
+        ),
     ]
 
 
+def _round_s(entries: int) -> float:
+    return math.ceil((entries - 1) / FAN_OUT) * HEARTBEAT_S
+
+
 def _metrics(results: Results) -> list[Row]:
     time_s = results.slope("scrapes.time").at(LABEL_SETS)
     text = results.slope("scrapes.bytes").at(LABEL_SETS)
@@ -311,7 +375,8 @@
     entries = entries_needed(results)
     scrape = results.slope("scrapes.time").at(LABEL_SETS) / ASSUMED.scrape_interval_s
     changes = _change_s(results) * DESIGN.changes_per_day / SECONDS_PER_DAY
-    core = results.slope("members.core_share").at(entries) + scrape + changes
+    probes = results.slope("probes.time").slope() * Measuring().probes_per_entry
+    core = results.slope("members.core_share").at(entries) + scrape + changes + probes
     text = results.slope("scrapes.bytes").at(LABEL_SETS) / ASSUMED.scrape_interval_s
     sent = results.slope("members.peer_bytes").at(entries) + _pushed_bytes_per_s(results) + text
     table = results.slope("choice.services").at(DESIGN.services)
@@ -319,7 +384,7 @@
         Row(
             CONTROL,
             "processor",
-            "membership, changes and scrapes",
+            "membership, changes, probes and scrapes",
             core * 100,
             "% of a core",
             SUPPOSED,
--- a/bench/capacity/rows_platform.py
+++ b/bench/capacity/rows_platform.py
@@ -10,7 +10,7 @@
 
 PLATFORM_ROLE = "platform's service"
 COMMAND = "operator's command line"
-CALLS_PER_CHANGE = 2
+CALLS_FOR_A_CHANGE = 3
 READS_AND_WRITES = "calls/s"
 
 
@@ -27,10 +27,11 @@
             PLATFORM_ROLE,
             "messages",
             "calls in calm, whole fleet, leases of 3 s",
-            results.slope("platform.calm").at(entries) + changes * CALLS_PER_CHANGE,
+            results.slope("platform.calm").at(entries)
+            + results.slope("platform.change").at(entries) * changes,
             READS_AND_WRITES,
             COMPUTED,
-            "`platform.calm` at the entries needed + 2 calls a change; bound: 300 writes/s",
+            "`platform.calm` + `platform.change` x 2,900 a day; bound: 300 writes/s",
             "transport.platform",
             PLATFORM.writes_per_s,
         ),
@@ -68,6 +69,18 @@
             PLATFORM.writes_per_s,
             "longer, jittered waits that grow with the length of the outage",
         ),
+        Row(
+            PLATFORM_ROLE,
+            "messages",
+            "calls for one change, most of them each entry's report, were they to fall into one s",
+            results.slope("platform.change").at(entries),
+            "calls",
+            COMPUTED,
+            "`platform.change` at the entries needed; bound: 300 writes/s",
+            "transport.registration",
+            PLATFORM.writes_per_s,
+            "reports that wait for the next renewal of the lease",
+        ),
         Row(
             PLATFORM_ROLE,
             "messages",
@@ -117,10 +130,10 @@
             COMMAND,
             "messages",
             "calls at the platform's service for one change, no conflict",
-            float(CALLS_PER_CHANGE),
+            float(CALLS_FOR_A_CHANGE),
             "calls",
             COMPUTED,
-            "one read and one compare-and-swap",
+            "reads of document and trail, one compare-and-swap of both and the kept text",
             "transport.admin",
         ),
     ]
--- a/bench/capacity/size.py
+++ b/bench/capacity/size.py
@@ -78,6 +78,8 @@
         Share of keyed operations that are sent again.
     largest_service_instances : int
         Instances of the largest service.
+    slots_per_instance : int
+        Requests that an instance runs at the same time.
     scrape_interval_s : float
         Time between two scrapes of an entry's metrics.
     connections_per_entry : int
@@ -92,6 +94,7 @@
     keyed_share: float = 0.05
     resend_share: float = 0.01
     largest_service_instances: int = 30
+    slots_per_instance: int = 4
     scrape_interval_s: float = 15.0
     connections_per_entry: int = 1_000
     changes_per_burst_minute: int = 20
