--- a/src/sycamorebay/coordination/dispatch.py
+++ b/src/sycamorebay/coordination/dispatch.py
@@ -222,6 +222,11 @@
             state.on_report(now, report)
         return []
 
+    def failure_domains(self, host: str) -> tuple[str, ...]:
+        """Return where the service of a host may be served and its records may be held."""
+        service = self.document.service_for(host) if self.document is not None else None
+        return service.failure_domains if service is not None else ()
+
     def on_probe_answer(
         self, now: float, server_id: str, report: LoadReport | None
     ) -> list[Action]:
--- a/src/sycamorebay/transport/control.py
+++ b/src/sycamorebay/transport/control.py
@@ -68,7 +68,7 @@
         """Open the links to the platform and the peers; yield the parts to run."""
         settings = self._settings
         async with (
-            open_store(settings.platform, self._on_platform_call) as store,
+            open_store(settings.platform, self.on_platform_call) as store,
             self.network.open(),
         ):
             follower = StoreFollower(settings, store, self.in_force, self.membership)
@@ -84,5 +84,6 @@
                 parts.append(VmWatch(self._dispatcher, store, settings.platform.poll_s))
             yield parts
 
-    def _on_platform_call(self, kind: str) -> None:
+    def on_platform_call(self, kind: str) -> None:
+        """Count a call to the platform's service."""
         self._metrics.platform_calls.labels(kind).inc()
