--- a/bench/capacity/entries.py
+++ b/bench/capacity/entries.py
@@ -123,6 +123,17 @@
     return Calls(**json.loads(output))
 
 
+async def platform_calls(fleet: Fleet) -> dict[str, Any]:
+    """Return what the platform's stand-in has counted so far."""
+    async with fleet.http.get(fleet.platform_url + "/control") as response:
+        return await response.json()
+
+
+def platform_total(counted: dict[str, Any]) -> float:
+    """Return calls of every kind."""
+    return float(sum(counted["calls"].values()))
+
+
 async def change(fleet: Fleet, text: bytes) -> int:
     """Make a change as the operators' command line does; return its revision."""
     wanted = admin.Change(text, "apply", "operator", "one more instance for the evening")
--- a/bench/capacity/operations.py
+++ b/bench/capacity/operations.py
@@ -1,57 +1,124 @@
-"""Operations at most once: bytes per record and processor time per decision."""
+"""Operations at most once: bytes per record, time per decision, cost of an inquiry."""
 
 from __future__ import annotations
 
 import time
 import tracemalloc
-import uuid
-from random import Random
 
 from bench.capacity.slopes import Results, repeated
-from sycamorebay.coordination.operations import KeptAnswer, Operation, Operations
+from sycamorebay.coordination.membership import Member
+from sycamorebay.coordination.operations import (
+    Inquire,
+    Inquiry,
+    InquiryReply,
+    Operation,
+    Operations,
+    Run,
+)
+from sycamorebay.coordination.ranges import EntryRange
+from sycamorebay.protocol import frames
+from sycamorebay.protocol.generated.peers.ttypes import Envelope
+from sycamorebay.protocol.inquiries import encode_inquiry, encode_reply
+from sycamorebay.settings import OperationSettings
+from sycamorebay.state.operations import KeptAnswer, OperationKey, Phase, parse_key
 
-SEED = 13
 RECORDS = (1_000, 5_000, 20_000)
-ANSWER_BYTES = (0, 1_024, 8_192)
+ANSWER_BYTES = (0, 1_024, 4_096)
+ANSWERED = 1_000
+PEERS = (8, 24, 60)
+INQUIRIES = 200
 REPEATS = 3
 FINGERPRINT = bytes(16)
+NOW = 1_000_000.0
+RANGE_S = 900.0
 
 
 def measure(results: Results) -> None:
     """Measure the group."""
-    both = [[_record(int(n), 200) for n in RECORDS] for _ in range(REPEATS)]
+    both = [[_record(int(n), 0) for n in RECORDS] for _ in range(REPEATS)]
     memory = [[one[0] for one in repeat] for repeat in both]
-    results.add_slope("operations.record", "B", "record with a 200 B answer", RECORDS, memory)
+    results.add_slope("operations.record", "B", "record without an answer", RECORDS, memory)
     spent = [[one[1] for one in repeat] for repeat in both]
     results.add_slope("operations.decision", "s", "operation", RECORDS, spent)
-    bodies = repeated(lambda size: _record(1_000, int(size))[0] / 1_000, ANSWER_BYTES, REPEATS)
+    bodies = repeated(
+        lambda size: _record(ANSWERED, int(size))[0] / ANSWERED, ANSWER_BYTES, REPEATS
+    )
     results.add_slope("operations.answer", "B", "byte of a kept answer", ANSWER_BYTES, bodies)
+    inquiries = repeated(lambda peers: _inquiry_s(int(peers)), PEERS, REPEATS)
+    results.add_slope("operations.inquiry", "s", "peer asked", PEERS, inquiries)
+    sent = [[_inquiry_bytes() * peers for peers in PEERS]]
+    results.add_slope("operations.inquiry_bytes", "B", "peer asked", PEERS, sent)
+
+
+def _member(number: int) -> Member:
+    return Member(f"entry-{number:03}", 1_700_000_000_000_000_000, "10.0.0.1:7000", "region-0-a")
+
+
+def _key_text(number: int) -> str:
+    return f"{int(NOW * 1000):012x}70008{number:015x}"
+
+
+def _key(number: int) -> OperationKey:
+    key = parse_key(_key_text(number))
+    assert key is not None
+    return key
+
+
+def _operations() -> Operations:
+    made = Operations(OperationSettings(), _member(999))
+    made.range.on_confirmed(NOW - RANGE_S, NOW + RANGE_S)
+    return made
 
 
 def _record(records: int, answer_bytes: int) -> tuple[float, float]:
     """Return bytes held and processor time spent for some operations and their answers."""
-    rng = Random(SEED)
-    keys = [str(uuid.UUID(int=rng.getrandbits(128))) for _ in range(records)]
-    spent = _run(keys, answer_bytes)
+    started = time.process_time()
+    _fill(_operations(), records, answer_bytes)
+    spent = time.process_time() - started
     tracemalloc.start()
     try:
-        kept = Operations()
-        _fill(kept, keys, answer_bytes)
+        kept = _operations()
+        _fill(kept, records, answer_bytes)
         return float(tracemalloc.get_traced_memory()[0]), spent
     finally:
         tracemalloc.stop()
 
 
-def _run(keys: list[str], answer_bytes: int) -> float:
-    operations = Operations()
+def _fill(operations: Operations, records: int, answer_bytes: int) -> None:
+    headers = (("content-type", "application/json"),)
+    for number in range(records):
+        decision = operations.on_operation(NOW, Operation(_key_text(number), FINGERPRINT, True))
+        if not isinstance(decision, Run):
+            raise RuntimeError(f"a first send led to {decision}")
+        answer = None
+        if answer_bytes:
+            answer = KeptAnswer(200, headers, bytes(answer_bytes), ("region-0-a",))
+        operations.on_answer(NOW, decision.key, answer)
+
+
+def _inquiry_s(peers: int) -> float:
+    """Return processor time of one inquiry's decisions at the entry that asks."""
+    operations = _operations()
+    members = [_member(number) for number in range(peers)]
+    ranges = [EntryRange(member, NOW - RANGE_S, NOW + RANGE_S) for member in members]
+    denies = InquiryReply(Phase.TOMBSTONE)
     started = time.process_time()
-    _fill(operations, keys, answer_bytes)
-    return time.process_time() - started
+    for number in range(INQUIRIES):
+        asking = operations.on_operation(NOW, Operation(_key_text(number), FINGERPRINT, False))
+        if not isinstance(asking, Inquire):
+            raise RuntimeError(f"a later send led to {asking}")
+        operations.on_ranges(NOW, asking.key, asking.attempt, ranges)
+        for member in members:
+            settled = operations.on_reply(NOW, asking.key, asking.attempt, member, denies)
+        if not isinstance(settled, Run):
+            raise RuntimeError(f"denials by all led to {settled}")
+    return (time.process_time() - started) / INQUIRIES
 
 
-def _fill(operations: Operations, keys: list[str], answer_bytes: int) -> None:
-    for key in keys:
-        own_key = "".join(key)
-        operations.on_operation(0.0, Operation(own_key, FINGERPRINT, True))
-        headers = (("content-type", "application/json"),)
-        operations.on_answer(0.0, own_key, KeptAnswer(200, headers, bytes(answer_bytes)))
+def _inquiry_bytes() -> float:
+    """Return bytes of one question and its answer, with their frames."""
+    asked = encode_inquiry(Inquiry(_key(1), 1, FINGERPRINT, _member(1)))
+    told = encode_reply(InquiryReply(Phase.TOMBSTONE), 1_700_000_000_000_000_000)
+    framed = 2 * (frames.LENGTH_BYTES + frames.FRAME_MAC_BYTES)
+    sent = len(frames.encode(Envelope(1, asked))) + len(frames.encode(Envelope(-1, told)))
+    return float(sent + framed)
--- a/bench/capacity/platform.py
+++ b/bench/capacity/platform.py
@@ -8,22 +8,17 @@
 
 import attrs
 
-from bench.capacity.documents import document_text
-from bench.capacity.entries import change, fleet_of
+from bench.capacity.entries import fleet_of, platform_calls, platform_total
 from bench.capacity.slopes import Results
 from bench.fleet import Fleet
 
 ENTRIES = (4, 8, 13)
 REPEATS = 2
 LEASE_S = 3
-SETTLE_S = 1.0
+SETTLE_S = 0.5
 CALM_S = 3.0
-OUTAGE_S = 4.0
-RECOVERY_S = 3.0
-CHANGES = 4
-CHANGE_S = 0.5
-INSTANCES = 30
-SERVICES = 10
+OUTAGE_S = 3.5
+RECOVERY_S = 2.5
 
 
 @attrs.frozen
@@ -38,14 +33,11 @@
         Calls in the busiest second of a start and after an outage.
     calm : float
         Calls a second.
-    change : float
-        Calls for each change of the document, the operator's own among them.
     """
 
     start: float
     start_peak: float
     calm: float
-    change: float
     outage_end_peak: float
 
 
@@ -53,7 +45,6 @@
     "start": "calls",
     "start_peak": "calls/s",
     "calm": "calls/s",
-    "change": "calls",
     "outage_end_peak": "calls/s",
 }
 
@@ -72,46 +63,26 @@
 
 async def _calls(entries: int) -> Calls:
     async with fleet_of(entries, backend_processes=1, lease_s=LEASE_S) as fleet:
-        at_start = await _counted(fleet)
+        at_start = await platform_calls(fleet)
         await asyncio.sleep(SETTLE_S)
-        before = await _counted(fleet)
+        before = await platform_calls(fleet)
         started = time.monotonic()
         await asyncio.sleep(CALM_S)
-        after = await _counted(fleet)
-        calm = (_total(after) - _total(before)) / (time.monotonic() - started)
-        change = await _calls_per_change(fleet, calm)
+        after = await platform_calls(fleet)
+        calm = (platform_total(after) - platform_total(before)) / (time.monotonic() - started)
         peak = await _outage_end_peak(fleet)
-        return Calls(_total(at_start), _peak(at_start, 0), calm, change, peak)
-
-
-async def _calls_per_change(fleet: Fleet, calm: float) -> float:
-    before = _total(await _counted(fleet))
-    started = time.monotonic()
-    for variant in range(CHANGES):
-        await change(fleet, document_text(INSTANCES, SERVICES, variant))
-        await asyncio.sleep(CHANGE_S)
-    elapsed = time.monotonic() - started
-    return (_total(await _counted(fleet)) - before - calm * elapsed) / CHANGES
+        return Calls(platform_total(at_start), _peak(at_start, 0), calm, peak)
 
 
 async def _outage_end_peak(fleet: Fleet) -> float:
     """Return the most calls in a second after an outage longer than the leases."""
     await fleet.control_platform(down=True)
     await asyncio.sleep(OUTAGE_S)
-    before = await _counted(fleet)
+    before = await platform_calls(fleet)
     await fleet.control_platform(down=False)
     await asyncio.sleep(RECOVERY_S)
     last = max(int(second) for second in before["calls_by_second"])
-    return _peak(await _counted(fleet), last)
-
-
-async def _counted(fleet: Fleet) -> dict[str, Any]:
-    async with fleet.http.get(fleet.platform_url + "/control") as response:
-        return await response.json()
-
-
-def _total(counted: dict[str, Any]) -> float:
-    return float(sum(counted["calls"].values()))
+    return _peak(await platform_calls(fleet), last)
 
 
 def _peak(counted: dict[str, Any], since: int) -> float:
--- a/bench/capacity/probes.py
+++ b/bench/capacity/probes.py
@@ -10,9 +10,9 @@
 
 RATES = (5, 10, 25)
 SERVERS = 28
-REPEATS = 3
+REPEATS = 2
 SETTLE_S = 0.5
-WINDOW_S = 2.0
+WINDOW_S = 4.0
 PER_SERVER = 10.0
 
 
--- a/bench/capacity/revisions.py
+++ b/bench/capacity/revisions.py
@@ -6,9 +6,10 @@
 import itertools
 import json
 import time
+from collections.abc import Awaitable
 
 from bench.capacity.documents import document_text
-from bench.capacity.entries import change, fleet_of, usage
+from bench.capacity.entries import change, fleet_of, platform_calls, platform_total, usage
 from bench.capacity.slopes import Results
 from bench.fleet import Fleet
 
@@ -19,6 +20,8 @@
 REPEATS = 2
 ENTRIES = (2, 6, 12)
 IN_FORCE_CHANGES = 5
+CALLS_CHANGES = 4
+CALLS_S = 4.0
 LIMIT_S = 20.0
 LOOK_S = 0.02
 
@@ -37,12 +40,34 @@
     results.add_slope("revisions.cpu", "s", "instance", INSTANCES, cpu)
     read = [[one[1] for one in repeat] for repeat in rounds]
     results.add_slope("revisions.bytes", "B", "instance", INSTANCES, read)
-    waits = []
+    waits, calls = [], []
     for entries in ENTRIES:
         async with fleet_of(entries, backend_processes=1) as fleet:
+            calls.append(await _calls_per_change(fleet))
             waits.append([await _in_force_s(fleet) for _ in range(IN_FORCE_CHANGES)])
     repeats = [list(one) for one in zip(*waits, strict=True)]
     results.add_slope("revisions.in_force", "s", "entry", ENTRIES, repeats)
+    results.add_slope("revisions.calls", "calls", "entry", ENTRIES, [calls])
+
+
+async def _calls_per_change(fleet: Fleet) -> float:
+    """Return calls at the platform's service for each change, beyond those of a calm fleet."""
+    calm = await _calls_in(fleet, asyncio.sleep(CALLS_S))
+    return (await _calls_in(fleet, _changes_within(fleet, CALLS_S)) - calm) / CALLS_CHANGES
+
+
+async def _calls_in(fleet: Fleet, work: Awaitable[None]) -> float:
+    before = platform_total(await platform_calls(fleet))
+    await work
+    return platform_total(await platform_calls(fleet)) - before
+
+
+async def _changes_within(fleet: Fleet, seconds: float) -> None:
+    async with asyncio.TaskGroup() as tasks:
+        tasks.create_task(asyncio.sleep(seconds))
+        for _ in range(CALLS_CHANGES):
+            await change(fleet, document_text(INSTANCES[0], SERVICES, next(_variants)))
+            await asyncio.sleep(seconds / CALLS_CHANGES / 2)
 
 
 async def _change_cost(fleet: Fleet, instances: int) -> tuple[float, float]:
--- a/bench/capacity/rows_control.py
+++ b/bench/capacity/rows_control.py
@@ -11,12 +11,11 @@
 from bench.capacity.rows_calls import MB, MS, US, calls_per_entry, entries_needed
 from bench.capacity.size import ASSUMED, DESIGN, PLATFORM, SECONDS_PER_DAY
 from bench.capacity.slopes import Results
-from sycamorebay.coordination import operations
 from sycamorebay.coordination.membership import DEAD_AFTER_ROUNDS
 from sycamorebay.protocol.revisions import MAX_TRAIL_ENTRIES
-from sycamorebay.settings import PeerSettings, Settings
+from sycamorebay.settings import OperationSettings, PeerSettings, Settings
 from sycamorebay.state.document import Measuring
-from sycamorebay.transport.operate import MAX_KEPT_ANSWER_BYTES
+from sycamorebay.transport.ranges import MIN_READ_INTERVAL_S
 
 PROBES = "entry: probes"
 OPERATIONS = "entry: operations at most once"
@@ -28,6 +27,7 @@
 HOURS_PER_DAY = 24
 TRAIL_HOURS = 24.0
 LABEL_SETS = 30
+ANSWER_BYTES = 1_024
 FAN_OUT: int = attrs.fields_dict(PeerSettings)["fan_out"].default
 HEARTBEAT_S: float = attrs.fields_dict(Settings)["heartbeat_s"].default
 
@@ -115,10 +115,12 @@
 
 
 def _operations(results: Results) -> list[Row]:
-    record = results.slope("operations.record").slope()
-    per_byte = results.slope("operations.answer")
+    entries = entries_needed(results)
+    bounds = OperationSettings()
     keyed = calls_per_entry(results) * ASSUMED.keyed_share
-    largest = operations._MAX_RECORDS * per_byte.at(MAX_KEPT_ANSWER_BYTES)
+    resent = keyed * ASSUMED.resend_share
+    answers = bounds.max_kept_bytes / ANSWER_BYTES
+    inquiry = results.slope("operations.inquiry").at(entries - 1)
     return [
         Row(
             OPERATIONS,
@@ -143,34 +145,79 @@
         Row(
             OPERATIONS,
             "state",
-            "time until a record is pushed out by newer ones",
-            operations._MAX_RECORDS / keyed / 60,
+            "records of keys young enough to be sent again",
+            keyed * bounds.max_key_age_s,
+            "records",
+            SUPPOSED,
+            f"operations at one entry x {bounds.max_key_age_s:g} s; above the bound later sends of"
+            " the oldest keys are answered `unknown`",
+            "state.operations",
+            float(bounds.max_records),
+            "a shorter age of keys, or more records",
+        ),
+        Row(
+            OPERATIONS,
+            "state",
+            "time that an answer of 1 KB is kept to be given again",
+            answers / keyed / 60,
             "min",
             SUPPOSED,
-            f"{operations._MAX_RECORDS:,} records / operations at one entry",
-            "coordination.operations",
+            f"{bounds.max_kept_bytes / MB:g} MB of answers / 1 KB / operations at one entry",
+            "state.operations",
         ),
         Row(
             OPERATIONS,
             "memory",
-            "records full, answers of 200 B",
-            operations._MAX_RECORDS * record / MB,
+            "records and kept answers, both full",
+            _records_bytes(results) / MB,
             "MB",
             COMPUTED,
-            f"{operations._MAX_RECORDS:,} records x `operations.record`",
-            "coordination.operations",
+            f"{bounds.max_records:,} x `operations.record` + {bounds.max_kept_bytes / MB:g} MB",
+            "state.operations",
         ),
         Row(
             OPERATIONS,
-            "memory",
-            "records full, each answer as large as may be kept",
-            largest / MB,
-            "MB",
+            "messages",
+            "peers asked for one later send",
+            float(entries - 1),
+            "peers",
             COMPUTED,
-            f"{operations._MAX_RECORDS:,} records x `operations.answer` at 16 KB",
+            "entries - 1, each with a question and an answer",
+            "transport.inquire",
+        ),
+        Row(
+            OPERATIONS,
+            "messages",
+            "bytes of inquiries at one entry, both directions",
+            2 * resent * results.slope("operations.inquiry_bytes").at(entries - 1),
+            "B/s",
+            SUPPOSED,
+            "2 x operations at one entry x 1 % sent again x `operations.inquiry_bytes`",
+            "transport.inquire",
+            DESIGN.control_bytes_per_s,
+            "a home for each key, so that one peer is asked",
+        ),
+        Row(
+            OPERATIONS,
+            "processor",
+            "decisions on one inquiry where it is asked",
+            inquiry * US,
+            "us",
+            COMPUTED,
+            "`operations.inquiry` at entries - 1",
             "coordination.operations",
-            DESIGN.control_bytes / MB,
-            "a bound on the bytes of all kept answers, beside that on their number",
+        ),
+        Row(
+            OPERATIONS,
+            "messages",
+            "reads of all ranges at the platform's service, whole fleet",
+            entries * min(resent, 1 / MIN_READ_INTERVAL_S),
+            "reads/s",
+            SUPPOSED,
+            "one for each later send, at most 5 a second for each entry",
+            "transport.ranges",
+            PLATFORM.reads_per_s,
+            "ranges that ride on heartbeats",
         ),
     ]
 
@@ -380,6 +427,7 @@
     text = results.slope("scrapes.bytes").at(LABEL_SETS) / ASSUMED.scrape_interval_s
     sent = results.slope("members.peer_bytes").at(entries) + _pushed_bytes_per_s(results) + text
     table = results.slope("choice.services").at(DESIGN.services)
+    resident = results.slope("members.memory").at(entries) + table
     return [
         Row(
             CONTROL,
@@ -409,7 +457,7 @@
             CONTROL,
             "memory",
             "resident without callers, with its peers and the document",
-            (results.slope("members.memory").at(entries) + table) / MB,
+            resident / MB,
             "MB",
             COMPUTED,
             "`members.memory` at the entries needed + `choice.services` at 82",
@@ -417,4 +465,21 @@
             DESIGN.control_bytes / MB,
             "fewer links; fewer libraries loaded",
         ),
+        Row(
+            CONTROL,
+            "memory",
+            "the same with records and kept answers of operations full",
+            (resident + _records_bytes(results)) / MB,
+            "MB",
+            COMPUTED,
+            "the row above + records and kept answers",
+            "state.operations",
+            DESIGN.control_bytes / MB,
+            "fewer or smaller records: a table by bytes in place of objects; smaller answers kept",
+        ),
     ]
+
+
+def _records_bytes(results: Results) -> float:
+    bounds = OperationSettings()
+    return bounds.max_records * results.slope("operations.record").slope() + bounds.max_kept_bytes
