--- a/src/sycamorebay/metrics.py
+++ b/src/sycamorebay/metrics.py
@@ -71,6 +71,12 @@
             ["direction"],
             registry=self.registry,
         )
+        self.peer_frames = Counter(
+            "sycamorebay_peer_frames",
+            "Messages between peers, by direction.",
+            ["direction"],
+            registry=self.registry,
+        )
         self.peers_dropped = Counter(
             "sycamorebay_peers_dropped",
             "Dialers and links dropped, by reason.",
--- a/src/sycamorebay/transport/peers.py
+++ b/src/sycamorebay/transport/peers.py
@@ -57,6 +57,8 @@
         self._handler = handler
         self._received = metrics.peer_bytes.labels("in")
         self._sent = metrics.peer_bytes.labels("out")
+        self._frames_received = metrics.peer_frames.labels("in")
+        self._frames_sent = metrics.peer_frames.labels("out")
         self._ids = count(1)
         self._by_correlation: dict[int, asyncio.Future[Body]] = {}
 
@@ -119,6 +121,7 @@
         if not frames.FRAME_MAC_BYTES < length <= frames.MAX_FRAME_BYTES:
             raise PeerError(f"a frame of {length} bytes", step="read")
         self._received.inc(length + frames.LENGTH_BYTES)
+        self._frames_received.inc()
         return self._incoming.open(await self._reader.readexactly(length))
 
     def _write(self, envelope: Envelope) -> None:
@@ -128,6 +131,7 @@
             raise PeerError("the peer does not read", step="write")
         data = self._outgoing.frame(frames.encode(envelope))
         self._sent.inc(len(data))
+        self._frames_sent.inc()
         self._writer.write(data)
 
 
