--- a/src/sycamorebay/transport/daemon.py
+++ b/src/sycamorebay/transport/daemon.py
@@ -74,7 +74,7 @@
     def _open_operations(self) -> contextlib.AbstractAsyncContextManager[KeyedOperations]:
         return open_operations(
             self._settings,
-            self._control.membership.own,
+            self._control.membership,
             self._control.network,
             self._dispatcher.invariants,
             self._control.on_platform_call,
