--- a/src/sycamorebay/metrics.py
+++ b/src/sycamorebay/metrics.py
@@ -38,6 +38,9 @@
         self.attempts = Counter(
             "sycamorebay_attempts", "Attempts sent to backend servers.", registry=self.registry
         )
+        self.hedges = Counter(
+            "sycamorebay_hedges", "Hedges sent to backend servers.", registry=self.registry
+        )
         self.added = Histogram(
             "sycamorebay_added_seconds",
             "Time that this entry added before the answer's head.",
@@ -71,6 +74,12 @@
             ["direction"],
             registry=self.registry,
         )
+        self.peer_frames = Counter(
+            "sycamorebay_peer_frames",
+            "Messages between peers, by direction.",
+            ["direction"],
+            registry=self.registry,
+        )
         self.peers_dropped = Counter(
             "sycamorebay_peers_dropped",
             "Dialers and links dropped, by reason.",
