Replace a range's lapsed lease before its next write

Cause: the lease was looked at only after a write, and a write with a lapsed lease fails, so that an entry whose lease had lapsed in a long outage could not register again. A test with a store that loses a lease hung before.

--- a/src/sycamorebay/transport/ranges.py
+++ b/src/sycamorebay/transport/ranges.py
@@ -91,9 +91,9 @@
         """Extend this entry's range for ever."""
         while True:
             try:
-                self._on_known(self._clock(), await self.read())
-                if not await self._store.keep_alive(self._lease):
+                if self._lease and not await self._store.keep_alive(self._lease):
                     self._lease = 0
+                self._on_known(self._clock(), await self.read())
                 self.failed = False
                 wait_s = EXTEND_S
             except PlatformError as error:
--- a/tests/fake_store.py
+++ b/tests/fake_store.py
@@ -34,7 +34,9 @@
     async def read_versions(self, prefix: str) -> Listing:
         return await self.read_prefix(prefix)
 
-    async def swap(self, key: str, value: bytes, version: int, also: Sequence[Write] = ()) -> bool:
+    async def swap(
+        self, key: str, value: bytes, version: int, also: Sequence[Write] = (), lease: int = 0
+    ) -> bool:
         await asyncio.sleep(0)
         if self.unsent:
             self.unsent -= 1
