--- a/bench/operations.py
+++ b/bench/operations.py
@@ -23,7 +23,8 @@
 from bench.fleet import OPERATORS_PORT, Fleet, Shape, service
 from bench.load import Report, new_key
 from sycamorebay.coordination.membership import Member
-from sycamorebay.coordination.operations import Inquiry, Operations
+from sycamorebay.coordination.operation_messages import Inquiry
+from sycamorebay.coordination.operations import Operations
 from sycamorebay.settings import OperationSettings
 from sycamorebay.state.operations import KeptAnswer, parse_key
 
--- a/src/sycamorebay/__init__.py
+++ b/src/sycamorebay/__init__.py
@@ -3,7 +3,8 @@
 from sycamorebay.coordination.configuration import Configuration, Revision
 from sycamorebay.coordination.dispatch import Dispatcher
 from sycamorebay.coordination.membership import Member, Membership
-from sycamorebay.coordination.operations import Operation, Operations
+from sycamorebay.coordination.operation_messages import Operation
+from sycamorebay.coordination.operations import Operations
 from sycamorebay.errors import (
     ConflictError,
     DocumentError,
--- a/src/sycamorebay/protocol/inquiries.py
+++ b/src/sycamorebay/protocol/inquiries.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from sycamorebay.coordination.membership import Member
-from sycamorebay.coordination.operations import Inquiry, InquiryReply
+from sycamorebay.coordination.operation_messages import Inquiry, InquiryReply
 from sycamorebay.errors import PeerError
 from sycamorebay.protocol.generated.peers import ttypes
 from sycamorebay.protocol.generated.peers.ttypes import Body
--- a/src/sycamorebay/transport/inquire.py
+++ b/src/sycamorebay/transport/inquire.py
@@ -8,14 +8,8 @@
 from typing import Protocol
 
 from sycamorebay.coordination.membership import Member
-from sycamorebay.coordination.operations import (
-    Ask,
-    Inquire,
-    Inquiry,
-    InquiryReply,
-    Operations,
-    Settled,
-)
+from sycamorebay.coordination.operation_messages import Ask, Inquire, Inquiry, InquiryReply, Settled
+from sycamorebay.coordination.operations import Operations
 from sycamorebay.coordination.ranges import EntryRange
 from sycamorebay.errors import PeerError, PlatformError
 from sycamorebay.protocol.generated.peers.ttypes import Body
--- a/src/sycamorebay/transport/operate.py
+++ b/src/sycamorebay/transport/operate.py
@@ -14,16 +14,15 @@
 import xxhash
 
 from sycamorebay import log
-from sycamorebay.coordination.operations import (
-    STEP,
+from sycamorebay.coordination.operation_messages import (
     Decision,
     Inquire,
     Operation,
-    Operations,
     Reject,
     Replay,
     Run,
 )
+from sycamorebay.coordination.operations import STEP, Operations
 from sycamorebay.outcomes import NotRun, Refusal, Unknown
 from sycamorebay.protocol import headers as names
 from sycamorebay.protocol.headers import header_value
--- a/tests/broken_entry.py
+++ b/tests/broken_entry.py
@@ -9,13 +9,8 @@
 import sys
 
 from sycamorebay.coordination.membership import Member
-from sycamorebay.coordination.operations import (
-    Inquiry,
-    InquiryReply,
-    Operation,
-    Operations,
-    Settled,
-)
+from sycamorebay.coordination.operation_messages import Inquiry, InquiryReply, Operation, Settled
+from sycamorebay.coordination.operations import Operations
 from sycamorebay.settings import load_settings
 from sycamorebay.state.operations import OperationKey, Phase
 from sycamorebay.transport import daemon, keyed
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -4,18 +4,18 @@
 
 from bench.load import new_key
 from sycamorebay.coordination.invariants import Invariants
-from sycamorebay.coordination.operations import (
+from sycamorebay.coordination.operation_messages import (
     Ask,
     Inquire,
     Inquiry,
     InquiryReply,
     Operation,
-    Operations,
     Reject,
     Replay,
     Run,
     Wait,
 )
+from sycamorebay.coordination.operations import Operations
 from sycamorebay.coordination.ranges import EntryRange, OwnRange
 from sycamorebay.settings import OperationSettings
 from sycamorebay.state.operations import KeptAnswer, OperationKey, Phase, parse_key
--- a/tests/test_operations_conformance.py
+++ b/tests/test_operations_conformance.py
@@ -7,14 +7,14 @@
 from specs import operations as spec
 from specs.operations import NAMES, State, Variant
 from sycamorebay.coordination.invariants import Invariants
-from sycamorebay.coordination.operations import (
+from sycamorebay.coordination.operation_messages import (
     Inquire,
     Inquiry,
     InquiryReply,
     Operation,
-    Operations,
     Reject,
 )
+from sycamorebay.coordination.operations import Operations
 from sycamorebay.coordination.ranges import EntryRange
 from sycamorebay.settings import OperationSettings
 from sycamorebay.state.operations import Phase, parse_key
