--- a/src/sycamorebay/settings.py
+++ b/src/sycamorebay/settings.py
@@ -132,7 +132,7 @@
     clock_skew_s: float = 2.0
     keys_ahead_s: float = 900.0
     max_key_age_s: float = 900.0
-    max_records: int = 50_000
+    max_records: int = 20_000
     max_kept_bytes: int = 8_000_000
 
 
--- a/src/sycamorebay/state/operations.py
+++ b/src/sycamorebay/state/operations.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-MAX_RECORDS = 50_000
+MAX_RECORDS = 20_000
 MAX_KEPT_BYTES = 8_000_000
 MAX_KEY_AGE_S = 900.0
 
