Weigh own slots more, and eject a server that hedges keep beating

Cause of the second change: with a server ten times slower hedges won and cancelled its requests before they were overdue, so that it was ejected 4 times only and went on to get 2 of every 20 sends; ruled out by the count of ejections with random choice (32).

--- a/src/sycamorebay/coordination/choose.py
+++ b/src/sycamorebay/coordination/choose.py
@@ -176,7 +176,7 @@
     """
 
     def __init__(
-        self, horizon: float = 4.0, own_slot_bonus: float = 0.4, far_cost: float = 0.02
+        self, horizon: float = 4.0, own_slot_bonus: float = 1.0, far_cost: float = 0.02
     ) -> None:
         self._estimate = LoadEstimate(horizon)
         self._own_slot_bonus = own_slot_bonus
--- a/src/sycamorebay/coordination/dispatch.py
+++ b/src/sycamorebay/coordination/dispatch.py
@@ -161,6 +161,9 @@
             deliver = Deliver(pending.request.id, attempt_id)
             if len(pending.in_flight) == 1:
                 return [deliver]
+            for loser in pending.in_flight.values():
+                if loser.id < attempt_id:
+                    pending.service.on_lost_race(now, loser.backend)
             losers = self._cancel(pending, but=attempt_id)
             return [deliver, *losers, *self._pump(now, pending.service)]
         self._release(attempt)
--- a/src/sycamorebay/coordination/outliers.py
+++ b/src/sycamorebay/coordination/outliers.py
@@ -7,6 +7,7 @@
 from sycamorebay.state.backends import BackendState
 
 FAILURES_IN_ROW = 3
+LOST_RACES = 2
 _MIN_FAILURE_SHARE = 0.4
 _FAILURE_FACTOR = 2.0
 _SLOW_FACTOR = 3.0
@@ -71,6 +72,15 @@
         if health.on_trial or (is_bad and stands_out and health.failure_share > _MIN_FAILURE_SHARE):
             self.eject(now, state, peers, eject_share)
 
+    def on_lost_race(
+        self, now: float, state: BackendState, peers: Sequence[BackendState], eject_share: float
+    ) -> None:
+        """Take a hedge that answered before the server, which was asked first."""
+        health = state.health
+        health.lost_races += 1
+        if health.on_trial or health.lost_races >= LOST_RACES:
+            self.eject(now, state, peers, eject_share)
+
     def eject(
         self, now: float, state: BackendState, peers: Sequence[BackendState], eject_share: float
     ) -> bool:
--- a/src/sycamorebay/coordination/service.py
+++ b/src/sycamorebay/coordination/service.py
@@ -84,6 +84,11 @@
         share = self.service.limits.eject_share
         self.outliers.on_failure(now, state, self.backends, share)
 
+    def on_lost_race(self, now: float, state: BackendState) -> None:
+        """Take a hedge that answered before the backend server that was asked first."""
+        share = self.service.limits.eject_share
+        self.outliers.on_lost_race(now, state, self.backends, share)
+
     def on_overdue(self, now: float, state: BackendState) -> None:
         """Take a request that waits for its answer far longer than usual."""
         self.outliers.eject(now, state, self.backends, self.service.limits.eject_share)
--- a/src/sycamorebay/state/health.py
+++ b/src/sycamorebay/state/health.py
@@ -22,6 +22,8 @@
         Smoothed share of failures among its results.
     failures_in_row : int
         Failures since the last success.
+    lost_races : int
+        Hedges that answered before it since its last success.
     ejected_until : float
         End of the ejection, in seconds.
     on_trial : bool
@@ -32,6 +34,7 @@
 
     failure_share: float = 0.0
     failures_in_row: int = 0
+    lost_races: int = 0
     ejected_until: float = float("-inf")
     on_trial: bool = False
     ramp_from: float = float("-inf")
@@ -41,6 +44,7 @@
         """Take a request that was served in time."""
         self.failure_share -= _SMOOTHING * self.failure_share
         self.failures_in_row = 0
+        self.lost_races = 0
         if self.on_trial and now >= self.ejected_until:
             self.on_trial = False
             self.ramp_from = now
--- a/tests/test_hedge.py
+++ b/tests/test_hedge.py
@@ -65,6 +65,24 @@
             self.made.on_end(LATE + 0.7, won.attempt_id)
             self.assertTrue(self.made.is_idle())
 
+    def test_a_server_that_loses_races_is_ejected(self):
+        state = self.made.backends.get("desk-3")
+        for number in range(2):
+            self.lose_race(5000 + number * 100)
+        self.assertTrue(state.health.is_ejected(LATE + 0.6))
+
+    def lose_race(self, number: int) -> None:
+        while True:
+            number += 1
+            (first,) = self.made.on_request(LATE, price(number))
+            if first.backend_server.id == "desk-3":
+                break
+            self.made.on_answer(LATE, first.attempt_id, Answer(200))
+            self.made.on_end(LATE, first.attempt_id)
+        (second,) = self.made.on_timer(LATE + 0.1)
+        self.made.on_answer(LATE + 0.1, second.attempt_id, Answer(200))
+        self.made.on_end(LATE + 0.1, second.attempt_id)
+
     def test_one_failure_of_two_waits_for_the_other(self):
         first, second = hedged(self.made)
         lost = Failure("answer", True, "lost")
