Split requests under way and the judging of servers out of the dispatcher

A request under way keeps no timer past its deadline: with no answer ever, hedge timers at infinity piled up. The random runs check now that no timer is left. A request that has no other server left takes one that ramps up before one that is ejected. Answers that come after a pause of the entry itself no longer eject servers.

--- a/bench/random_driver.py
+++ b/bench/random_driver.py
@@ -245,6 +245,7 @@
         self.check_slots()
         open_ids = [i for i, r in self.requests.items() if not r.final]
         check(not self.attempts and not open_ids, f"requests {open_ids} never ended")
+        check(self.made.next_timer() is None, "no timer is left")
         check(self.made.is_idle(), "the dispatcher keeps nothing of what has ended")
 
     def take(self, actions: list[Action], own: int | None = None) -> None:
--- a/src/sycamorebay/coordination/dispatch.py
+++ b/src/sycamorebay/coordination/dispatch.py
@@ -7,13 +7,11 @@
 from itertools import count
 from random import Random
 
-import attrs
-
-from sycamorebay.coordination.admit import AdmissionQueue
 from sycamorebay.coordination.assignment import Entries, Entry
+from sycamorebay.coordination.attempts import Attempt, Pending
 from sycamorebay.coordination.choose import Chooser, OwnSlotsFirst
 from sycamorebay.coordination.invariants import Invariants
-from sycamorebay.coordination.limit import CROWDED_FACTOR
+from sycamorebay.coordination.judge import Judge
 from sycamorebay.coordination.messages import (
     Action,
     Answer,
@@ -26,44 +24,13 @@
     Send,
 )
 from sycamorebay.coordination.probe import Prober
-from sycamorebay.coordination.service import LONG, ServiceState, ServiceTable
+from sycamorebay.coordination.service import ServiceState, ServiceTable
 from sycamorebay.outcomes import NotRun, Refusal, Unknown
 from sycamorebay.state.backends import BackendState, BackendTable, LoadReport
-from sycamorebay.state.document import Document, Route
+from sycamorebay.state.document import Document
 
 MAX_ATTEMPTS = 3
-SERVER_ERROR_STATUS = 500
 PLACE_STEP = "place"
-HEALTH_CHECK_S = 0.1
-_PAUSED_CHECKS = 5
-
-
-@attrs.define(eq=False)
-class _Pending:
-    request: Request
-    service: ServiceState
-    route: Route
-    deadline: float
-    tried: set[str] = attrs.field(factory=set)
-    attempts: int = 0
-    in_flight: dict[int, _Attempt] = attrs.field(factory=dict)
-    answered: bool = False
-    may_have_run: bool = False
-
-
-@attrs.define(eq=False)
-class _Attempt:
-    id: int
-    backend: BackendState
-    pending: _Pending
-    sent_at: float
-    answered: bool = False
-    served: bool = False
-
-    @property
-    def is_short(self) -> bool:
-        """Whether it is short work."""
-        return self.pending.route.work != LONG
 
 
 def _no_objection() -> str:
@@ -97,11 +64,11 @@
         self.document: Document | None = None
         self.objection: Callable[[], str] = _no_objection
         self._entries = Entries()
-        self._by_request: dict[int, _Pending] = {}
-        self._by_attempt: dict[int, _Attempt] = {}
+        self._by_request: dict[int, Pending] = {}
+        self._by_attempt: dict[int, Attempt] = {}
         self._timers: list[tuple[float, int]] = []
         self._attempt_ids = count(1)
-        self._checked_at = 0.0
+        self._judge = Judge()
         self.prober = Prober(self.invariants)
 
     def on_document(self, now: float, document: Document) -> list[Action]:
@@ -139,7 +106,7 @@
         if allowed_s <= 0:
             return [self._refuse(request.id, "deadline", service.name, "no time is left", 504)]
         state = self.services[service.name]
-        pending = _Pending(request, state, route, now + allowed_s)
+        pending = Pending(request, state, route, now + allowed_s)
         self._by_request[request.id] = pending
         return [self._admit(now, pending)]
 
@@ -154,22 +121,25 @@
             if answer.report.leaving:
                 self.prober.ask_first(state)
         pending = attempt.pending
-        self._note_crowding(attempt, answer)
-        self._judge(now, attempt, answer)
+        self._judge.on_answer(now, attempt, answer)
         if not answer.shed:
-            self._settle(pending)
-            deliver = Deliver(pending.request.id, attempt_id)
-            if len(pending.in_flight) == 1:
-                return [deliver]
-            for loser in pending.in_flight.values():
-                if loser.id < attempt_id:
-                    pending.service.on_lost_race(now, loser.backend)
-            losers = self._cancel(pending, but=attempt_id)
-            return [deliver, *losers, *self._pump(now, pending.service)]
+            return self._deliver(now, attempt)
         self._release(attempt)
         refusal = NotRun("backend", state.server.id, "the backend server shed the request")
         return [self._again(now, pending, refusal), *self._pump(now, pending.service)]
 
+    def _deliver(self, now: float, attempt: Attempt) -> list[Action]:
+        pending = attempt.pending
+        self._settle(pending)
+        deliver = Deliver(pending.request.id, attempt.id)
+        if len(pending.in_flight) == 1:
+            return [deliver]
+        for loser in pending.in_flight.values():
+            if loser.id < attempt.id:
+                pending.service.on_lost_race(now, loser.backend)
+        losers = self._cancel(pending, but=attempt.id)
+        return [deliver, *losers, *self._pump(now, pending.service)]
+
     def on_failure(self, now: float, attempt_id: int, failure: Failure) -> list[Action]:
         """Take the end of an attempt that brought no answer."""
         attempt = self._by_attempt.get(attempt_id)
@@ -182,7 +152,7 @@
         own = self._after_failure(now, pending, attempt.backend.server.id, failure)
         return [own, *self._pump(now, pending.service)]
 
-    def _after_failure(self, now: float, pending: _Pending, peer: str, failure: Failure) -> Action:
+    def _after_failure(self, now: float, pending: Pending, peer: str, failure: Failure) -> Action:
         if not failure.written:
             return self._again(
                 now, pending, NotRun(failure.step, peer, failure.reason), body_left=True
@@ -201,8 +171,7 @@
         self._release(attempt)
         pending = attempt.pending
         if attempt.served:
-            work = pending.service.of(pending.route.work)
-            work.queue.pace.on_end(now, now - attempt.sent_at)
+            pending.work.queue.pace.on_end(now, now - attempt.sent_at)
         return self._pump(now, pending.service)
 
     def on_caller_gone(self, now: float, request_id: int) -> list[Action]:
@@ -216,13 +185,13 @@
             self._settle(pending)
         return [*self._cancel(pending), *self._pump(now, pending.service)]
 
-    def _cancel(self, pending: _Pending, but: int | None = None) -> list[Action]:
+    def _cancel(self, pending: Pending, but: int | None = None) -> list[Action]:
         attempts = [attempt for attempt in pending.in_flight.values() if attempt.id != but]
         for attempt in attempts:
             self._release(attempt)
         return [Cancel(pending.request.id, attempt.id) for attempt in attempts]
 
-    def _delivering(self, request_id: int) -> _Pending | None:
+    def _delivering(self, request_id: int) -> Pending | None:
         for attempt in self._by_attempt.values():
             if attempt.pending.request.id == request_id:
                 return attempt.pending
@@ -269,13 +238,13 @@
         first = self._timers[0][0] if self._timers else None
         if not self._by_attempt and not self._by_request:
             return first
-        check = self._checked_at + HEALTH_CHECK_S
+        check = self._judge.next_check
         return check if first is None else min(first, check)
 
     def on_timer(self, now: float) -> list[Action]:
         """Refuse what waits and could no longer be served in time; send what has room now."""
-        if now >= self._checked_at + HEALTH_CHECK_S:
-            self._check_overdue(now)
+        if now >= self._judge.next_check:
+            self._judge.check(now, self._by_attempt.values())
         actions: list[Action] = []
         while self._timers and self._timers[0][0] <= now:
             _, request_id = heapq.heappop(self._timers)
@@ -284,7 +253,7 @@
                 continue
             if pending.in_flight:
                 actions += self._hedge(now, pending)
-            elif self._queue_of(pending).remove(request_id):
+            elif pending.work.queue.remove(request_id):
                 actions.append(self._give_up(pending, self._overload(pending)))
         for state in self.services:
             actions += self._pump(now, state)
@@ -309,11 +278,11 @@
         service = self.document.service_for(attempt.pending.request.host)
         return service is not None and service.allows(server)
 
-    def _admit(self, now: float, pending: _Pending) -> Action:
+    def _admit(self, now: float, pending: Pending) -> Action:
         usable = self._usable(now, pending)
         if not usable:
             return self._give_up(pending, self._no_place(pending))
-        queue = self._queue_of(pending)
+        queue = pending.work.queue
         candidates = [] if len(queue) else self._with_room(pending, usable)
         if candidates:
             return self._send(now, pending, candidates)
@@ -343,21 +312,18 @@
                     actions.append(self._send(now, pending, candidates))
         return actions
 
-    def _queue_of(self, pending: _Pending) -> AdmissionQueue:
-        return pending.service.of(pending.route.work).queue
-
     @staticmethod
-    def _no_place(pending: _Pending) -> NotRun:
+    def _no_place(pending: Pending) -> NotRun:
         reason = "no backend server in an allowed failure domain is available"
         return NotRun(PLACE_STEP, pending.service.service.name, reason)
 
-    def _overload(self, pending: _Pending) -> NotRun:
-        work = pending.service.of(pending.route.work)
+    def _overload(self, pending: Pending) -> NotRun:
+        work = pending.work
         name = pending.service.service.name
         reason = "all slots are taken for longer than the request can wait"
         return NotRun("admit", name, reason, 503, work.queue.retry_after_s(work.in_flight))
 
-    def _usable(self, now: float, pending: _Pending) -> list[BackendState]:
+    def _usable(self, now: float, pending: Pending) -> list[BackendState]:
         rng = self._rng
         backends = pending.service.backends
         usable = [s for s in backends if not s.restricted or s.takes_work(now, rng)]
@@ -366,55 +332,44 @@
         return usable or self._last_resort(now, pending)
 
     @staticmethod
-    def _last_resort(now: float, pending: _Pending) -> list[BackendState]:
-        """Return servers that do badly, for a request that has no other left."""
-        return [
+    def _last_resort(now: float, pending: Pending) -> list[BackendState]:
+        """Return servers that come back or do badly, for a request that has no other left."""
+        left = [
             state
             for state in pending.service.backends
             if not state.leaving(now) and state.server.id not in pending.tried
         ]
+        return [state for state in left if not state.health.is_ejected(now)] or left
 
-    def _with_room(self, pending: _Pending, usable: list[BackendState]) -> list[BackendState]:
+    def _with_room(self, pending: Pending, usable: list[BackendState]) -> list[BackendState]:
         service = pending.service
-        if pending.route.work == LONG:
+        if pending.is_long:
             own = [state for state in usable if service.has_long_slot(state)]
             return own if own or service.long.in_flight else usable
         return usable if service.limit.has_room(service.short.in_flight) else []
 
     def _send(
-        self, now: float, pending: _Pending, candidates: list[BackendState], *, hedge: bool = False
+        self, now: float, pending: Pending, candidates: list[BackendState], *, hedge: bool = False
     ) -> Send:
         backend = self._chooser.choose(now, candidates, self._rng)
         self.invariants.check(pending.service.service.allows(backend.server), "placement")
-        attempt = _Attempt(next(self._attempt_ids), backend, pending, now)
-        pending.attempts += 1
+        attempt = Attempt(next(self._attempt_ids), backend, pending, now)
         pending.tried.add(backend.server.id)
         pending.in_flight[attempt.id] = attempt
         self._by_attempt[attempt.id] = attempt
-        self._count(attempt, 1)
+        attempt.count(1)
         if hedge:
             self.invariants.check(pending.route.idempotent, "hedge idempotent")
-        elif self._may_hedge(pending):
-            after_s = pending.service.outliers.times.hedge_after_s()
-            heapq.heappush(self._timers, (now + after_s, pending.request.id))
+        elif pending.is_hedgeable:
+            hedge_at = now + pending.service.outliers.times.hedge_after_s()
+            if hedge_at < pending.deadline:
+                heapq.heappush(self._timers, (hedge_at, pending.request.id))
         return Send(pending.request.id, attempt.id, backend.server, pending.deadline, hedge)
 
-    @staticmethod
-    def _may_hedge(pending: _Pending) -> bool:
-        service = pending.service
-        return (
-            pending.route.idempotent
-            and pending.route.work != LONG
-            and pending.attempts == 1
-            and pending.request.replayable
-            and service.hedges.ratio > 0
-            and service.outliers.times.mean_s > 0
-        )
-
-    def _hedge(self, now: float, pending: _Pending) -> list[Action]:
+    def _hedge(self, now: float, pending: Pending) -> list[Action]:
         """Send a second attempt beside the first where that is likely to help."""
         service = pending.service
-        if len(pending.in_flight) != 1 or not self._may_hedge(pending):
+        if len(pending.in_flight) != 1 or not pending.is_hedgeable:
             return []
         if service.limit.is_crowded or not service.limit.has_room(service.short.in_flight):
             return []
@@ -424,102 +379,37 @@
         return [self._send(now, pending, candidates, hedge=True)]
 
     def _again(
-        self, now: float, pending: _Pending, refusal: Refusal, *, body_left: bool = False
+        self, now: float, pending: Pending, refusal: Refusal, *, body_left: bool = False
     ) -> Action:
         if pending.in_flight:
             return Enqueue(pending.request.id, pending.deadline)
-        if pending.attempts < MAX_ATTEMPTS and now < pending.deadline:
+        if len(pending.tried) < MAX_ATTEMPTS and now < pending.deadline:
             candidates = self._usable(now, pending)
-            if pending.route.work == LONG:
+            if pending.is_long:
                 candidates = self._with_room(pending, candidates)
             sendable = body_left or pending.request.replayable
             if sendable and candidates and pending.service.retries.take():
                 return self._send(now, pending, candidates)
         return self._give_up(pending, refusal)
 
-    def _give_up(self, pending: _Pending, refusal: Refusal) -> Refuse:
+    def _give_up(self, pending: Pending, refusal: Refusal) -> Refuse:
         self._settle(pending)
         if pending.may_have_run and isinstance(refusal, NotRun):
             refusal = Unknown(refusal.step, refusal.peer, refusal.reason)
         return Refuse(pending.request.id, refusal)
 
-    def _settle(self, pending: _Pending) -> None:
+    def _settle(self, pending: Pending) -> None:
         """Take the final answer of a request: there is one only."""
         self.invariants.check(not pending.answered, "one final answer")
         pending.answered = True
         self._by_request.pop(pending.request.id, None)
-        self._queue_of(pending).remove(pending.request.id)
-
-    def _note_crowding(self, attempt: _Attempt, answer: Answer) -> None:
-        service = attempt.pending.service
-        if not attempt.is_short:
-            return
-        report = answer.report
-        crowded = answer.shed
-        if report is not None:
-            load = report.in_flight + report.queued
-            crowded = crowded or load > attempt.backend.server.slots * CROWDED_FACTOR
-        service.limit.on_answer(service.short.in_flight, crowded=crowded)
-
-    def _judge(self, now: float, attempt: _Attempt, answer: Answer) -> None:
-        """Learn from an answer how its backend server does."""
-        attempt.answered = True
-        service = attempt.pending.service
-        if answer.shed:
-            if _sheds_without_cause(attempt.backend, answer):
-                service.on_bad(now, attempt.backend)
-            return
-        if answer.status >= SERVER_ERROR_STATUS:
-            service.on_bad(now, attempt.backend)
-            return
-        attempt.served = True
-        service.retries.on_served()
-        service.hedges.on_served()
-        if attempt.is_short:
-            seconds = now - attempt.sent_at
-            overdue = seconds > service.outliers.times.overdue_s()
-            service.outliers.times.on_answer(seconds)
-            attempt.backend.on_answer_time(seconds)
-            if overdue:
-                service.on_overdue(now, attempt.backend)
-                return
-        service.outliers.on_success(now, attempt.backend)
-
-    def _check_overdue(self, now: float) -> None:
-        """Judge backend servers by requests that wait far too long for their answers."""
-        was_paused = now - self._checked_at > HEALTH_CHECK_S * _PAUSED_CHECKS
-        self._checked_at = now
-        if was_paused:
-            return
-        for attempt in self._by_attempt.values():
-            if attempt.answered or not attempt.is_short:
-                continue
-            service = attempt.pending.service
-            if now - attempt.sent_at > service.outliers.times.overdue_s():
-                service.on_overdue(now, attempt.backend)
+        pending.work.queue.remove(pending.request.id)
 
-    def _release(self, attempt: _Attempt) -> None:
+    def _release(self, attempt: Attempt) -> None:
         del self._by_attempt[attempt.id]
         del attempt.pending.in_flight[attempt.id]
-        self._count(attempt, -1)
-
-    def _count(self, attempt: _Attempt, change: int) -> None:
-        backend = attempt.backend
-        work = attempt.pending.service.of(attempt.pending.route.work)
-        backend.in_flight += change
-        work.in_flight += change
-        if attempt.pending.route.work == LONG:
-            backend.long_in_flight += change
-        counted = min(backend.in_flight, backend.long_in_flight, work.in_flight)
-        self.invariants.check(counted >= 0, "slots counted")
+        self.invariants.check(attempt.count(-1) >= 0, "slots counted")
 
     @staticmethod
     def _refuse(request_id: int, step: str, peer: str, reason: str, status: int = 503) -> Refuse:
         return Refuse(request_id, NotRun(step, peer, reason, status))
-
-
-def _sheds_without_cause(state: BackendState, answer: Answer) -> bool:
-    report = answer.report
-    if report is None or report.leaving:
-        return False
-    return report.in_flight + report.queued < state.server.slots
--- /dev/null
+++ b/src/sycamorebay/coordination/judge.py
@@ -0,0 +1,87 @@
+"""What an entry learns of backend servers from the attempts that it sends them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from sycamorebay.coordination.attempts import Attempt
+from sycamorebay.coordination.limit import CROWDED_FACTOR
+from sycamorebay.coordination.messages import Answer
+from sycamorebay.state.backends import BackendState
+
+SERVER_ERROR_STATUS = 500
+CHECK_INTERVAL_S = 0.1
+_PAUSED_CHECKS = 5
+
+
+class Judge:
+    """Tells services how their backend servers do."""
+
+    def __init__(self) -> None:
+        self._checked_at = 0.0
+
+    @property
+    def next_check(self) -> float:
+        """When `check` wants to be called."""
+        return self._checked_at + CHECK_INTERVAL_S
+
+    def on_answer(self, now: float, attempt: Attempt, answer: Answer) -> None:
+        """Take the head of an answer."""
+        attempt.answered = True
+        service = attempt.pending.service
+        if not attempt.pending.is_long:
+            crowded = answer.shed or _is_crowded(attempt.backend, answer)
+            service.limit.on_answer(service.short.in_flight, crowded=crowded)
+        if answer.shed:
+            if _sheds_without_cause(attempt.backend, answer):
+                service.on_bad(now, attempt.backend)
+        elif answer.status >= SERVER_ERROR_STATUS:
+            service.on_bad(now, attempt.backend)
+        else:
+            self._on_served(now, attempt)
+
+    def check(self, now: float, attempts: Iterable[Attempt]) -> None:
+        """Judge backend servers by requests that wait far too long for their answers."""
+        was_paused = self._was_paused(now)
+        self._checked_at = now
+        if was_paused:
+            return
+        for attempt in attempts:
+            if attempt.answered or attempt.pending.is_long:
+                continue
+            service = attempt.pending.service
+            if now - attempt.sent_at > service.outliers.times.overdue_s():
+                service.on_overdue(now, attempt.backend)
+
+    def _on_served(self, now: float, attempt: Attempt) -> None:
+        attempt.served = True
+        service = attempt.pending.service
+        service.retries.on_served()
+        service.hedges.on_served()
+        if not attempt.pending.is_long and not self._was_paused(now):
+            seconds = now - attempt.sent_at
+            is_overdue = seconds > service.outliers.times.overdue_s()
+            service.outliers.times.on_answer(seconds)
+            attempt.backend.on_answer_time(seconds)
+            if is_overdue:
+                service.on_overdue(now, attempt.backend)
+                return
+        service.outliers.on_success(now, attempt.backend)
+
+    def _was_paused(self, now: float) -> bool:
+        """Whether this entry itself stood still, so that waiting proves nothing."""
+        return now - self._checked_at > CHECK_INTERVAL_S * _PAUSED_CHECKS
+
+
+def _is_crowded(state: BackendState, answer: Answer) -> bool:
+    report = answer.report
+    if report is None:
+        return False
+    return report.in_flight + report.queued > state.server.slots * CROWDED_FACTOR
+
+
+def _sheds_without_cause(state: BackendState, answer: Answer) -> bool:
+    report = answer.report
+    if report is None or report.leaving:
+        return False
+    return report.in_flight + report.queued < state.server.slots
--- a/src/sycamorebay/coordination/outliers.py
+++ b/src/sycamorebay/coordination/outliers.py
@@ -38,7 +38,9 @@
         self.mean_s += _SMOOTHING * (bounded_s - self.mean_s)
 
     def hedge_after_s(self) -> float:
-        """Return the time after which few answers are still to come."""
+        """Return the time after which few answers are still to come; infinite while none came."""
+        if self.mean_s == 0.0:
+            return float("inf")
         return self.mean_s + _HEDGE_DEVIATIONS * self.deviation_s
 
     def overdue_s(self) -> float:
--- a/src/sycamorebay/coordination/service.py
+++ b/src/sycamorebay/coordination/service.py
@@ -75,10 +75,6 @@
     def _slots(service: Service) -> int:
         return sum(server.slots for server in service.backend_servers)
 
-    def of(self, work: str) -> WorkState:
-        """Return the state of a class of work."""
-        return self.long if work == LONG else self.short
-
     def on_bad(self, now: float, state: BackendState) -> None:
         """Take a request that a backend server failed."""
         share = self.service.limits.eject_share
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -4,7 +4,8 @@
 
 import testtools
 
-from sycamorebay.coordination.dispatch import HEALTH_CHECK_S, Dispatcher
+from sycamorebay.coordination.dispatch import Dispatcher
+from sycamorebay.coordination.judge import CHECK_INTERVAL_S
 from sycamorebay.coordination.messages import Answer, Failure, Request, Send
 from sycamorebay.coordination.outliers import AnswerTimes, most_ejected
 from sycamorebay.state.backends import LoadReport
@@ -119,7 +120,7 @@
         driver = Driver(made)
         driver.share_of_sick(100)
         self.hold_one(driver)
-        made.on_timer(driver.now + HEALTH_CHECK_S * 50)
+        made.on_timer(driver.now + CHECK_INTERVAL_S * 50)
         self.assertFalse(made.backends.get(SICK).health.is_ejected(driver.now + 5.0))
 
     def test_a_server_that_joins_starts_slowly(self):
