--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 READY = $(VENV)/.ready
 
-.PHONY: install test check demo bench bench-policy schema generate lock
+.PHONY: install test check demo bench bench-policy schema generate lock capacity
 
 install: $(READY)
 
@@ -17,8 +17,8 @@
 	$(BIN)/python -m tests
 
 check: install
-	$(BIN)/black --check --quiet src standins bench tests
-	$(BIN)/ruff check --quiet src standins bench tests
+	$(BIN)/black --check --quiet src standins bench specs tests
+	$(BIN)/ruff check --quiet src standins bench specs tests
 	$(BIN)/mypy
 
 demo: install
@@ -31,6 +31,9 @@
 	done
 	$(BIN)/python -m bench.report
 
+capacity: install
+	$(BIN)/python -m bench.capacity all
+
 generate:
 	thrift -r --gen py:slots -out src/sycamorebay/protocol/generated src/sycamorebay/protocol/peers.thrift
 
--- a/src/sycamorebay/transport/platform.py
+++ b/src/sycamorebay/transport/platform.py
@@ -20,6 +20,8 @@
 from sycamorebay.settings import PlatformSettings
 from sycamorebay.transport.clock import boottime
 
+LEAVING = "leaving"
+
 
 @attrs.frozen
 class Stored:
@@ -54,6 +56,23 @@
 
     key: str
     value: bytes | None
+    lease: int = 0
+
+
+@attrs.frozen
+class Vm:
+    """One VM of the platform's list: its address, and whether it is leaving."""
+
+    address: str
+    leaving: bool
+
+
+class VmList(Protocol):
+    """The platform's list of live and leaving VMs."""
+
+    async def vms(self) -> list[Vm]:
+        """Return the list; it lags."""
+        ...
 
 
 class Store(Protocol):
@@ -71,10 +90,12 @@
         """Return all keys under a prefix, without their values."""
         ...
 
-    async def swap(self, key: str, value: bytes, version: int, also: Sequence[Write] = ()) -> bool:
+    async def swap(
+        self, key: str, value: bytes, version: int, also: Sequence[Write] = (), lease: int = 0
+    ) -> bool:
         """Write if the key is at `version` still, 0 for absent; whether it was.
 
-        `also` is written in the same transaction.
+        `also` is written in the same transaction; the key goes with `lease` where one is named.
         """
         ...
 
@@ -141,10 +162,12 @@
         items = tuple(_stored(kv) for kv in reply.get("kvs") or [])
         return Listing(items, int(reply["header"]["revision"]))
 
-    async def swap(self, key: str, value: bytes, version: int, also: Sequence[Write] = ()) -> bool:
+    async def swap(
+        self, key: str, value: bytes, version: int, also: Sequence[Write] = (), lease: int = 0
+    ) -> bool:
         """Write if the key is at `version` still, 0 for absent; whether it was.
 
-        `also` is written in the same transaction.
+        `also` is written in the same transaction; the key goes with `lease` where one is named.
         """
         compare = {
             "key": _encode(key.encode()),
@@ -152,7 +175,7 @@
             "result": "EQUAL",
             "mod_revision": str(version),
         }
-        success = [_operation(write) for write in (Write(key, value), *also)]
+        success = [_operation(write) for write in (Write(key, value, lease), *also)]
         reply = await self._call("/v3/kv/txn", {"compare": [compare], "success": success})
         return bool(reply.get("succeeded", False))
 
@@ -191,6 +214,18 @@
             raise self._error("watch", error) from error
         raise PlatformError("the watch ended", step="watch", peer=self._settings.url)
 
+    async def vms(self) -> list[Vm]:
+        """Return the platform's list of VMs; it lags."""
+        await self._take_turn("/vms")
+        timeout = aiohttp.ClientTimeout(total=self._settings.timeout_s)
+        try:
+            async with self._session.get(self._settings.vm_list_url, timeout=timeout) as response:
+                response.raise_for_status()
+                found = await response.json()
+            return [Vm(str(one["address"]), one.get("state") == LEAVING) for one in found]
+        except (aiohttp.ClientError, OSError, ValueError, KeyError, TypeError) as error:
+            raise self._error("vms", error) from error
+
     async def _call(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
         await self._take_turn(path)
         timeout = aiohttp.ClientTimeout(total=self._settings.timeout_s)
@@ -263,7 +298,8 @@
     key = _encode(write.key.encode())
     if write.value is None:
         return {"request_delete_range": {"key": key}}
-    return {"request_put": {"key": key, "value": _encode(write.value)}}
+    value = _encode(write.value)
+    return {"request_put": {"key": key, "value": value, "lease": str(write.lease)}}
 
 
 def _encode(value: bytes) -> str:
