Spend a server's turn only on a probe that is sent

Found by reading: the turn moved on at every tick without a token, so that which servers were asked depended on the tick (test_every_server_has_its_turn_however_often_it_is_called).

--- a/src/sycamorebay/coordination/probe.py
+++ b/src/sycamorebay/coordination/probe.py
@@ -46,13 +46,14 @@
             self._tokens = 0.0
             self._at = now
 
-    def take(self, now: float) -> bool:
-        """Spend one probe; False where none is left."""
+    def has_one(self, now: float) -> bool:
+        """Whether a probe may be sent."""
         self._earn(now)
-        if self._tokens < 1.0 - _EXACT:
-            return False
+        return self._tokens >= 1.0 - _EXACT
+
+    def take(self) -> None:
+        """Spend one probe."""
         self._tokens = 0.0
-        return True
 
     def _earn(self, now: float) -> None:
         self._tokens = min(1.0, self._tokens + max(0.0, now - self._at) * self.rate)
@@ -100,11 +101,12 @@
     def next_probe(self, now: float) -> Probe | None:
         """Return the probe to send now, or None."""
         cap = self._measuring.probes_per_backend_server
-        if self._budget is None or cap <= 0:
+        if self._budget is None or cap <= 0 or not self._budget.has_one(now):
             return None
         state = self._next_state(now, 1.0 / cap)
-        if state is None or not self._budget.take(now):
+        if state is None:
             return None
+        self._budget.take()
         server = state.server
         self._check(now, server.id, cap)
         self._asked_at_by_id[server.id] = now
--- a/tests/test_probe.py
+++ b/tests/test_probe.py
@@ -93,6 +93,17 @@
         self.assertEqual("desk-0", prober.next_probe(5.0).backend_server.id)
         self.assertFalse(prober.may_ask(other.server))
 
+    def test_every_server_has_its_turn_however_often_it_is_called(self):
+        prober = Prober(Invariants(strict=True))
+        prober.on_document(0.0, Measuring(1.0, 1.0), states(4))
+        asked = []
+        for tick in range(1, 401):
+            probe = prober.next_probe(tick * 0.02)
+            if probe is not None:
+                asked.append(probe.backend_server.id)
+                prober.on_done(probe.backend_server.id)
+        self.assertEqual([f"desk-{n % 4}" for n in range(8)], asked)
+
     def test_no_budget_means_no_probe(self):
         for measuring in (Measuring(0.0, 1.0), Measuring(10.0, 0.0)):
             prober = Prober(Invariants(strict=True))
