Write a whole answer at once, and refuse when the entry itself fails

Cause: an answer went out as two ASGI messages, each a write, with two searches a header. Now one that has come whole goes out in one write; slow readers and long answers keep the general way. Found on the way: an exception of the entry's own left a connection to a backend server unclosed and answered 500 without an outcome.

--- a/src/sycamorebay/protocol/request_head.py
+++ b/src/sycamorebay/protocol/request_head.py
@@ -35,6 +35,7 @@
 
 
 MALFORMED = HeadFault(400, "the request is malformed")
+FAILED = HeadFault(500, "the entry failed")
 TOO_LARGE = HeadFault(431, "the request's headers are too large")
 TARGET_TOO_LONG = HeadFault(414, "the request's target is too long")
 TOO_SLOW = HeadFault(408, "the request's head took too long")
--- a/src/sycamorebay/transport/caller_protocol.py
+++ b/src/sycamorebay/transport/caller_protocol.py
@@ -10,11 +10,17 @@
 
 import attrs
 import httptools
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
+from uvicorn.protocols.http.httptools_impl import (
+    STATUS_LINE,
+    HttpToolsProtocol,
+    RequestResponseCycle,
+)
 
 from sycamorebay.outcomes import NotRun, Refusal, Unknown
+from sycamorebay.protocol.headers import BODILESS_STATUSES, Headers, header_value
 from sycamorebay.protocol.problem import raw_refusal
 from sycamorebay.protocol.request_head import (
+    FAILED,
     MALFORMED,
     TARGET_TOO_LONG,
     TOO_LARGE,
@@ -106,6 +112,17 @@
             socket_of.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         self.transport.abort()
 
+    def fail(self) -> None:
+        """Refuse the request in flight, or cut its answer off, after a fault of the entry."""
+        running = self._running
+        if running is not None and not running.disconnected:
+            self._deaf = True
+            running.disconnected = True
+            if running.response_started:
+                self.abort()
+            else:
+                self._answer(FAILED, Unknown)
+
     def prepare_answer(self) -> None:
         """Settle whether the connection lives on after the answer that starts now."""
         running = self._running
@@ -115,6 +132,28 @@
         ):
             running.keep_alive = False
 
+    def answer_whole(self, status: int, headers: Headers, body: bytes) -> bool:
+        """Write a whole answer at once; False where the caller reads too slowly for that.
+
+        The general way through ASGI messages costs a second write and a check of each header.
+        """
+        running = self._running
+        if running is None or running.disconnected or self.flow.write_paused:
+            return False
+        running.response_started = True
+        running.waiting_for_100_continue = False
+        bodiless = running.scope["method"] == "HEAD" or status in BODILESS_STATUSES
+        if not bodiless and header_value(headers, "content-length") is None:
+            headers = [*headers, ("content-length", str(len(body)))]
+        head = _head(status, headers, running.keep_alive)
+        self.transport.write(head if bodiless else head + body)
+        running.response_complete = True
+        running.message_event.set()
+        if not running.keep_alive:
+            self.transport.close()
+        running.on_response()
+        return True
+
     # Parser
 
     def data_received(self, data: bytes) -> None:
@@ -272,3 +311,13 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
+
+
+def _head(status: int, headers: Headers, keep_alive: bool) -> bytes:
+    lines = [f"{name}: {value}\r\n" for name, value in headers]
+    if not keep_alive:
+        lines.append("connection: close\r\n")
+    text = "".join(lines)
+    if text.count("\n") != len(lines) or text.count("\r") != len(lines):
+        raise ValueError("a header holds a control character")
+    return STATUS_LINE[status] + text.encode("latin-1") + b"\r\n"
--- a/src/sycamorebay/transport/forward.py
+++ b/src/sycamorebay/transport/forward.py
@@ -308,10 +308,19 @@
             return None, self._failed(exchange, send, error.failure)
         now = self._clock()
         exchange.backend_s += now - started
+        try:
+            return self._judge(exchange, send, answer, now)
+        except BaseException:
+            answer.abort()
+            raise
+
+    def _judge(
+        self, exchange: Exchange, send: Send, answer: BackendAnswer, now: float
+    ) -> tuple[OutgoingAnswer | None, list[Action]]:
         by_name = dict(answer.headers)
         shed = by_name.get(names.OUTCOME) == NotRun.tag
         head = Answer(answer.status, shed, load_report(by_name))
-        actions = self._dispatcher.on_answer(now, attempt_id, head)
+        actions = self._dispatcher.on_answer(now, send.attempt_id, head)
         if not any(isinstance(action, Deliver) for action in actions):
             answer.abort()
             return None, actions
--- a/src/sycamorebay/transport/front.py
+++ b/src/sycamorebay/transport/front.py
@@ -11,12 +11,15 @@
 
 import uvicorn
 
+from sycamorebay import log
 from sycamorebay.protocol.headers import Headers
 from sycamorebay.settings import CallerLimits, Listen
 from sycamorebay.transport.caller_protocol import CONNECTION, CallerProtocol, Listener
 from sycamorebay.transport.forward import ForwardedBody, Forwarder, OutgoingAnswer
 from sycamorebay.transport.upstream import CallerBodyError, CutOffError
 
+_log = log.part("front")
+
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 
@@ -115,6 +118,9 @@
             await self._deliver(connection, answer, send)
         except asyncio.CancelledError:
             connection.abort()
+        except Exception:
+            _log.exception("request failed", target=request.target)
+            connection.fail()
 
     async def _deliver(
         self, connection: CallerProtocol, answer: OutgoingAnswer, send: Send
@@ -122,18 +128,16 @@
         body = answer.body
         connection.prepare_answer()
         if isinstance(body, bytes):
-            await _send_head(send, answer, len(body))
-            await send({"type": "http.response.body", "body": body})
+            await _send_whole(connection, send, answer, body)
             return
         with contextlib.closing(body):
             whole = body.whole()
             if whole is not None:
-                await _send_head(send, answer, None)
-                await send({"type": "http.response.body", "body": whole})
+                await _send_whole(connection, send, answer, whole)
                 return
             try:
                 async with asyncio.timeout(body.deadline - time.monotonic()):
-                    await _send_head(send, answer, None)
+                    await _send_head(send, answer.status, answer.headers)
                     await _send_body(send, body)
             except TimeoutError:
                 body.on_cut_off("the deadline passed")
@@ -142,11 +146,17 @@
                 connection.abort()
 
 
-async def _send_head(send: Send, answer: OutgoingAnswer, length: int | None) -> None:
-    headers = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in answer.headers]
-    if length is not None:
-        headers.append((b"content-length", str(length).encode()))
-    await send({"type": "http.response.start", "status": answer.status, "headers": headers})
+async def _send_whole(
+    connection: CallerProtocol, send: Send, answer: OutgoingAnswer, body: bytes
+) -> None:
+    if not connection.answer_whole(answer.status, answer.headers, body):
+        await _send_head(send, answer.status, answer.headers)
+        await send({"type": "http.response.body", "body": body})
+
+
+async def _send_head(send: Send, status: int, headers: Headers) -> None:
+    encoded = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
+    await send({"type": "http.response.start", "status": status, "headers": encoded})
 
 
 async def _send_body(send: Send, body: ForwardedBody) -> None:
--- a/src/sycamorebay/transport/upstream.py
+++ b/src/sycamorebay/transport/upstream.py
@@ -293,10 +293,11 @@
             message, payload = await protocol.read()
             while message.code < 200 and message.code != 101:
                 message, payload = await protocol.read()
-            fault = _answer_fault(message, request.method)
+            answer = AiohttpAnswer(connection, message, payload, body_writer)
+            fault = _answer_fault(answer, request.method, message.chunked)
             if fault is not None:
                 raise AttemptError(Failure("answer", True, fault))
-            return AiohttpAnswer(connection, message, payload, body_writer)
+            return answer
         except BaseException as error:
             if body_writer is not None:
                 body_writer.cancel()
@@ -343,18 +344,17 @@
     return (text + "\r\n\r\n").encode("latin-1")
 
 
-def _answer_fault(message: RawResponseMessage, method: str) -> str | None:
+def _answer_fault(answer: AiohttpAnswer, method: str, chunked: bool) -> str | None:
     """Return why an answer can't be trusted to be whole, or None."""
-    if not 200 <= message.code <= 599:
-        return f"the answer's status {message.code} is not usable"
-    lengths = [v for name, v in message.raw_headers if name.lower() == b"content-length"]
-    if message.chunked and lengths:
+    if not 200 <= answer.status <= 599:
+        return f"the answer's status {answer.status} is not usable"
+    if _FORBIDDEN_IN_VALUE.search(" ".join([value for _, value in answer.headers])):
+        return "a header of the answer holds a control character"
+    has_length = any(name == "content-length" for name, _ in answer.headers)
+    if chunked and has_length:
         return "the answer has two lengths"
-    for _, value in message.raw_headers:
-        if _FORBIDDEN_IN_VALUE.search(value.decode("latin-1")):
-            return "a header of the answer holds a control character"
-    bodiless = method == "HEAD" or message.code in BODILESS_STATUSES
-    if not (bodiless or message.chunked or lengths):
+    bodiless = method == "HEAD" or answer.status in BODILESS_STATUSES
+    if not (bodiless or chunked or has_length):
         return "the answer's end can't be told from a lost connection"
     return None
 
--- a/tests/test_forward_endings.py
+++ b/tests/test_forward_endings.py
@@ -185,3 +185,29 @@
             self.assertEqual(3_000_000, len(got))
             await self.assert_freed(entry)
             writer.close()
+
+    @on_uvloop
+    async def test_a_fault_of_the_entry_is_a_refusal_and_frees_the_slot(self):
+        async with one_entry(answer(HEAD)) as entry:
+
+            def fault(*_: object) -> None:
+                raise RuntimeError
+
+            entry.dispatcher.on_answer = fault
+            got = await entry.get("/prices")
+            self.assertTrue(got.startswith(b"HTTP/1.1 500 "), got)
+            self.assertIn(b"sycamorebay-outcome: unknown", got)
+            await self.assert_freed(entry)
+
+    @on_uvloop
+    async def test_a_caller_that_pipelines_and_never_reads_is_held_back(self):
+        big = b"HTTP/1.1 200 OK\r\ncontent-length: 60000\r\n\r\n" + b"x" * 60_000
+        async with one_entry(answer(big)) as entry:
+            _, writer = await entry.connect()
+            for _ in range(400):
+                writer.write(REQUEST)
+                await asyncio.sleep(0.001)
+            await asyncio.sleep(0.3)
+            self.assertLess(len(entry.backends[0].exchanges), 300)
+            writer.transport.abort()
+            await self.assert_freed(entry)
