--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 READY = $(VENV)/.ready
 
-.PHONY: install test check demo bench schema generate lock
+.PHONY: install test check demo bench bench-policy capacity schema generate lock
 
 install: $(READY)
 
@@ -17,8 +17,8 @@
 	$(BIN)/python -m tests
 
 check: install
-	$(BIN)/black --check --quiet src standins bench tests
-	$(BIN)/ruff check --quiet src standins bench tests
+	$(BIN)/black --check --quiet src standins bench specs tests
+	$(BIN)/ruff check --quiet src standins bench specs tests
 	$(BIN)/mypy
 
 demo: install
@@ -27,6 +27,16 @@
 bench: install
 	$(BIN)/python -m bench.speed --write
 
+capacity: install
+	$(BIN)/python -m bench.capacity all
+
+bench-policy: install
+	$(BIN)/python -m bench.decision_cost
+	for scenario in choice overload crest long-work slow-server failing-server; do \
+		$(BIN)/python -m bench.policy run $$scenario || exit 1; \
+	done
+	$(BIN)/python -m bench.report
+
 generate:
 	thrift -r --gen py:slots -out src/sycamorebay/protocol/generated src/sycamorebay/protocol/peers.thrift
 
--- a/src/sycamorebay/coordination/service.py
+++ b/src/sycamorebay/coordination/service.py
@@ -47,6 +47,7 @@
         self.service = service
         self.backends: list[BackendState] = []
         self.retries = RetryBudget(service.limits.retry_ratio)
+        self.hedges = RetryBudget(service.limits.hedge_ratio)
         self.limit = AdaptiveLimit(self._slots(service))
         self.short = WorkState()
         self.long = WorkState()
@@ -58,14 +59,16 @@
         self.service = service
         self.backends = [state for state in backends if service.allows(state.server)]
         self.retries.ratio = service.limits.retry_ratio
+        self.hedges.ratio = service.limits.hedge_ratio
         self.limit.resize(self._slots(service), len(entries))
         share = service.limits.long_share
         servers = [state.server for state in self.backends]
         own_slots = assigned_slots(servers, entries, lambda server: server.slots)
         for state in self.backends:
             state.own_slots = own_slots[state.server.id]
+            state.near = state.server.failure_domain == entries.own.failure_domain
         self.own_long_slots = assigned_slots(
-            servers, entries, lambda server: long_slots(server, share), at_least_one=True
+            servers, entries, lambda server: long_slots(server, share)
         )
 
     @staticmethod
--- a/src/sycamorebay/transport/front.py
+++ b/src/sycamorebay/transport/front.py
@@ -16,6 +16,7 @@
 from sycamorebay.settings import CallerLimits, Listen
 from sycamorebay.transport.caller_protocol import CONNECTION, CallerProtocol, Listener
 from sycamorebay.transport.forward import ForwardedBody, Forwarder, OutgoingAnswer
+from sycamorebay.transport.operate import StartedBody
 from sycamorebay.transport.upstream import CallerBodyError, CutOffError
 
 _log = log.part("front")
@@ -159,7 +160,7 @@
     await send({"type": "http.response.start", "status": status, "headers": encoded})
 
 
-async def _send_body(send: Send, body: ForwardedBody) -> None:
+async def _send_body(send: Send, body: ForwardedBody | StartedBody) -> None:
     async for chunk in body:
         if body.ended():
             await send({"type": "http.response.body", "body": chunk})
--- a/src/sycamorebay/transport/heartbeats.py
+++ b/src/sycamorebay/transport/heartbeats.py
@@ -18,16 +18,16 @@
     FetchDocument,
     Heartbeat,
 )
-from sycamorebay.protocol.heartbeats import check_heartbeat, heartbeat_of, members_of
+from sycamorebay.protocol.heartbeats import check_heartbeat, heartbeat_of, members_of, news_of
 from sycamorebay.settings import Settings
 from sycamorebay.transport.clock import boottime
 from sycamorebay.transport.in_force import RevisionInForce
+from sycamorebay.transport.news import NewsDesk
 from sycamorebay.transport.peers import PeerNetwork
 
 ANSWER_LIMIT_S = 2.0
 FETCH_LIMIT_S = 4.0
 _SOON_S = 0.1
-_UNKNOWN = "unknown"
 
 _log = log.part("heartbeats")
 
@@ -45,6 +45,8 @@
         Who the peers are.
     in_force : RevisionInForce
         The revision in force, and whether it is fresh.
+    news : NewsDesk
+        News of backend servers.
     metrics : Metrics
         Shows how many peers were heard lately.
     """
@@ -55,16 +57,17 @@
         network: PeerNetwork,
         membership: Membership,
         in_force: RevisionInForce,
+        news: NewsDesk,
         metrics: Metrics,
     ) -> None:
         self._settings = settings
         self._network = network
         self._membership = membership
         self._in_force = in_force
+        self._news = news
         self._metrics = metrics
         self._rng = random.Random()
         self._fetches: set[asyncio.Task[None]] = set()
-        self.soon = asyncio.Event()
 
     @property
     def round_s(self) -> float:
@@ -104,9 +107,9 @@
     async def _round(self) -> None:
         now = boottime()
         self._membership.on_tick(now)
-        freshness = self._in_force.freshness
-        freshness.on_peers(now, [peer.id for peer in self._membership.peers()])
         targets = self._targets()
+        known = [*self._membership.peers(), *self._unmet_seeds()]
+        self._in_force.freshness.on_round(now, [peer.id for peer in known])
         await asyncio.gather(*(self._beat(peer) for peer in targets))
         self._metrics.peers_alive.set(len(self.alive()))
 
@@ -115,18 +118,21 @@
         wait_s = self._settings.heartbeat_s if settled else min(0.2, self._settings.heartbeat_s)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s * (0.9 + 0.2 * self._rng.random())):
-                await self.soon.wait()
+                await self._news.soon.wait()
                 await asyncio.sleep(_SOON_S * self._rng.random())
-        self.soon.clear()
+        self._news.soon.clear()
 
     def _targets(self) -> list[Member]:
         settled = self._in_force.freshness.settled
         peers = self._membership.peers()
         if settled and peers:
             return self._membership.targets(self._rng, self._settings.peers.fan_out)
-        known = {peer.address for peer in peers} | {self._membership.own.address}
-        seeds = [seed for seed in self._settings.peers.seeds if seed not in known]
-        return peers + [Member(_UNKNOWN, 0, seed, _UNKNOWN) for seed in seeds]
+        return peers + self._unmet_seeds()
+
+    def _unmet_seeds(self) -> list[Member]:
+        met = {peer.address for peer in self._membership.peers()} | {self._membership.own.address}
+        seeds = [seed for seed in self._settings.peers.seeds if seed not in met]
+        return [Member(seed, 0, seed, "") for seed in seeds]
 
     async def _beat(self, peer: Member) -> None:
         asked_at = boottime()
@@ -143,13 +149,15 @@
             _log.debug("heartbeat failed", peer=peer.id, reason=str(error))
             self._network.drop(peer)
             return
-        self._in_force.freshness.on_peer(boottime(), sender.id, asked_at)
+        for id_ in {peer.id, sender.id}:
+            self._in_force.freshness.on_peer(boottime(), id_, asked_at)
 
     def _take(self, heartbeat: Heartbeat) -> Member:
         now = boottime()
         sender = check_heartbeat(heartbeat)
         self._membership.on_heartbeat(now, sender)
         self._membership.on_hints(now, members_of(heartbeat))
+        self._news.on_told(news_of(heartbeat))
         self._in_force.freshness.on_known(now, heartbeat.revision)
         fetch = self._in_force.configuration.on_heard(
             now, sender.id, heartbeat.revision, heartbeat.digest or b""
@@ -178,4 +186,6 @@
         self._in_force.on_revision(Revision(reply.revision, text))
 
     def _heartbeat(self, members: list[Member] | None = None) -> Heartbeat:
-        return heartbeat_of(self._membership.own, self._in_force.configuration, members=members)
+        return heartbeat_of(
+            self._membership.own, self._in_force.configuration, self._news.outgoing(), members
+        )
