Keep full garbage collections out of requests

Cause looked for: stalls in the tail. A full collection of the loaded daemon takes 34 to 36 ms over 53,037 objects; after gc.freeze it takes 0.002 ms. Kept for the tail.

--- a/src/sycamorebay/transport/daemon.py
+++ b/src/sycamorebay/transport/daemon.py
@@ -16,6 +16,7 @@
 from sycamorebay.coordination.dispatch import Dispatcher
 from sycamorebay.metrics import Metrics
 from sycamorebay.settings import Settings
+from sycamorebay.transport import collector
 from sycamorebay.transport.background import Background, running
 from sycamorebay.transport.control import Control
 from sycamorebay.transport.forward import Forwarder
@@ -128,4 +129,5 @@
 
 async def serve(settings: Settings) -> None:
     """Run one entry daemon."""
+    collector.settle()
     await Daemon(settings).run()
