Watch the deadline of an attempt by a timer on its connection

Cause: asyncio.timeout around each attempt. The test that holds connections now holds them inside aiohttp's own connection timeout.

--- a/src/sycamorebay/transport/upstream.py
+++ b/src/sycamorebay/transport/upstream.py
@@ -35,9 +35,16 @@
 MAX_HEADER_LINE_BYTES = 32_768
 _MAX_STALE_CONNECTIONS = 3
 _MAX_KNOWN_ADDRESSES = 4096
-_CONNECT_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+_MIN_CONNECT_TIMEOUT_S = 0.001
+_CONNECT_TIMEOUT = aiohttp.ClientTimeout(total=None, connect=CONNECT_TIMEOUT_S)
 _FORBIDDEN_IN_VALUE = re.compile("[\x00-\x08\x0a-\x1f\x7f]")
-_LOST = (aiohttp.ClientError, HttpProcessingError, OSError)
+
+
+class _DeadlineError(Exception):
+    """The deadline passed before the answer's head came."""
+
+
+_LOST = (aiohttp.ClientError, HttpProcessingError, OSError, _DeadlineError)
 
 
 @attrs.frozen
@@ -213,23 +220,18 @@
 
     async def send(self, request: OutgoingRequest, may_send: Callable[[], bool]) -> AiohttpAnswer:
         """Send a request and return its answer's head."""
-        connection: Connection | None = None
-        try:
-            async with asyncio.timeout(request.deadline - self._clock()):
-                connection = await self._connect(request.address)
-                with _aborted_on_error(connection):
-                    self._check_last(request, may_send)
-                    body_writer = self._write(connection, request)
-                    return await self._answer(connection, request, body_writer)
-        except TimeoutError as error:
-            step, written = ("answer", True) if connection is not None else ("connect", False)
-            raise AttemptError(Failure(step, written, "the deadline passed")) from error
-
-    async def _connect(self, address: str) -> Connection:
-        destination = self._destination(address)
+        connection = await self._connect(request)
+        with _aborted_on_error(connection):
+            self._check_last(request, may_send)
+            body_writer = self._write(connection, request)
+            return await self._answer(connection, request, body_writer)
+
+    async def _connect(self, request: OutgoingRequest) -> Connection:
+        destination = self._destination(request.address)
         for _ in range(_MAX_STALE_CONNECTIONS):
+            timeout = _connect_timeout(request.deadline - self._clock())
             try:
-                connection = await self._connector.connect(destination, [], _CONNECT_TIMEOUT)
+                connection = await self._connector.connect(destination, [], timeout)
             except TimeoutError as error:
                 raise AttemptError(Failure("connect", False, "connecting timed out")) from error
             except (aiohttp.ClientError, OSError) as error:
@@ -289,6 +291,10 @@
     ) -> AiohttpAnswer:
         protocol = connection.protocol
         assert protocol is not None
+        # A timer on the connection is cheaper than a timeout that cancels the task.
+        timer = asyncio.get_running_loop().call_later(
+            request.deadline - self._clock(), protocol.set_exception, _DeadlineError()
+        )
         try:
             message, payload = await protocol.read()
             while message.code < 200 and message.code != 101:
@@ -304,6 +310,8 @@
             if isinstance(error, _LOST):
                 raise AttemptError(Failure("answer", True, _reason(error))) from error
             raise
+        finally:
+            timer.cancel()
 
 
 @asynccontextmanager
@@ -407,7 +415,15 @@
         closed.remove_done_callback(on_closed)
 
 
+def _connect_timeout(time_left_s: float) -> aiohttp.ClientTimeout:
+    if time_left_s >= CONNECT_TIMEOUT_S:
+        return _CONNECT_TIMEOUT
+    return aiohttp.ClientTimeout(total=None, connect=max(_MIN_CONNECT_TIMEOUT_S, time_left_s))
+
+
 def _reason(error: BaseException) -> str:
+    if isinstance(error, _DeadlineError):
+        return "the deadline passed"
     if isinstance(error, HttpProcessingError):
         return "the answer is malformed"
     return str(error) or type(error).__name__
--- a/tests/test_forward_first_byte.py
+++ b/tests/test_forward_first_byte.py
@@ -26,10 +26,10 @@
         self.reached = asyncio.Event()
         self.go = asyncio.Event()
 
-    async def connect(self, *args, **kwargs):
+    async def _create_connection(self, *args, **kwargs):
         self.reached.set()
         await self.go.wait()
-        return await super().connect(*args, **kwargs)
+        return await super()._create_connection(*args, **kwargs)
 
 
 @contextlib.asynccontextmanager
