--- a/src/sycamorebay/metrics.py
+++ b/src/sycamorebay/metrics.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
 
 from sycamorebay.outcomes import Refusal
+from sycamorebay.unlocked import UnlockedCounter, UnlockedHistogram
 
 _ADDED_BUCKETS_S = (
     0.0001,
@@ -21,6 +22,7 @@
     0.1,
     1.0,
 )
+_BACKEND_BUCKETS_S = (0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
 
 
 class Metrics:
@@ -28,29 +30,30 @@
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
-        self.requests = Counter("sycamorebay_requests", "Requests taken.", registry=self.registry)
+        self.requests = UnlockedCounter("sycamorebay_requests", "Requests taken.", self.registry)
         self.refusals = Counter(
             "sycamorebay_refusals",
             "Requests refused, by outcome and step.",
             ["outcome", "step"],
             registry=self.registry,
         )
-        self.attempts = Counter(
-            "sycamorebay_attempts", "Attempts sent to backend servers.", registry=self.registry
+        self.attempts = UnlockedCounter(
+            "sycamorebay_attempts", "Attempts sent to backend servers.", self.registry
         )
         self.hedges = Counter(
             "sycamorebay_hedges", "Hedges sent to backend servers.", registry=self.registry
         )
-        self.added = Histogram(
+        self.added = UnlockedHistogram(
             "sycamorebay_added_seconds",
             "Time that this entry added before the answer's head.",
-            buckets=_ADDED_BUCKETS_S,
-            registry=self.registry,
+            _ADDED_BUCKETS_S,
+            self.registry,
         )
-        self.backend = Histogram(
+        self.backend = UnlockedHistogram(
             "sycamorebay_backend_seconds",
             "Time that backend servers took until the answer's head.",
-            registry=self.registry,
+            _BACKEND_BUCKETS_S,
+            self.registry,
         )
         self.revision = Gauge("sycamorebay_revision", "Revision in force.", registry=self.registry)
         self.peers_alive = Gauge(
