--- a/bench/capacity/documents.py
+++ b/bench/capacity/documents.py
@@ -5,6 +5,7 @@
 import json
 from random import Random
 
+from bench.capacity.size import DESIGN
 from bench.fleet import service
 from sycamorebay.state.document import Document, load_document
 
@@ -22,6 +23,11 @@
     return f"service-{index:03}.test"
 
 
+def services_of(instances: int) -> int:
+    """Return how many services some instances have in the proportion of the design size."""
+    return max(1, round(instances * DESIGN.services / DESIGN.instances))
+
+
 def document_text(instances: int, services: int, variant: int = 0) -> bytes:
     """Return a document whose instances are spread over its services.
 
--- a/bench/capacity/slopes.py
+++ b/bench/capacity/slopes.py
@@ -59,8 +59,14 @@
         return statistics.median(_least_squares(self.sizes, costs)[1] for costs in self.costs)
 
     def at(self, size: float) -> float:
-        """Return the cost at a size: base + slope x size."""
-        return self.base() + self.slope() * size
+        """Return the cost at a size: base + slope x size.
+
+        A slope below zero is noise: the median of all costs is returned instead.
+        """
+        slope = self.slope()
+        if slope < 0:
+            return statistics.median(cost for costs in self.costs for cost in costs)
+        return self.base() + slope * size
 
     def cost_at(self, size: float) -> float:
         """Return the median cost measured at one of the sizes."""
@@ -95,13 +101,21 @@
         return statistics.median(self.values)
 
 
+@attrs.frozen
+class Run:
+    """One group's measuring run: the commit measured and how long it took in seconds."""
+
+    commit: str
+    seconds: float
+
+
 @attrs.define
 class Results:
     """Everything that was measured."""
 
     slopes_by_name: dict[str, Slope] = attrs.field(factory=dict)
     figures_by_name: dict[str, Figure] = attrs.field(factory=dict)
-    revision_by_group: dict[str, str] = attrs.field(factory=dict)
+    runs_by_group: dict[str, Run] = attrs.field(factory=dict)
 
     def add_slope(
         self,
