--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,9 @@
 	done
 	$(BIN)/python -m bench.report
 
+bench: install
+	$(BIN)/python -m bench.speed --write
+
 generate:
 	thrift -r --gen py:slots -out src/sycamorebay/protocol/generated src/sycamorebay/protocol/peers.thrift
 
