--- a/bench/capacity/forwarding.py
+++ b/bench/capacity/forwarding.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from bench.capacity.caller import connect, request_bytes
+from bench.capacity.caller import request_bytes
 from bench.capacity.entries import (
     HOST,
     call,
@@ -15,6 +15,7 @@
 )
 from bench.capacity.slopes import Results
 from bench.fleet import Fleet
+from bench.lean import LeanConnection
 
 RATES = (200, 600, 1_200)
 CONNECTIONS = 16
@@ -65,7 +66,7 @@
     sizes = []
     for wanted in OPEN:
         while len(opened) < wanted:
-            connection = await connect(entry_address(fleet))
+            connection = await LeanConnection.open(entry_address(fleet))
             await connection.call(request)
             opened.append(connection)
         sizes.append(resident_bytes(fleet))
