--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,85 @@
+"""The capacity page comes from the committed results, and every row names what carries it."""
+
+from __future__ import annotations
+
+import importlib.util
+import re
+import unittest
+from pathlib import Path
+
+from bench.capacity.documents import document
+from bench.capacity.page import PAGE_PATH, all_rows, rendered
+from bench.capacity.slopes import MIN_SIZES, Results, Slope, load_results
+
+ROOT = Path(__file__).resolve().parent.parent
+TABLES = ("does-not-fit", "roles", "slopes", "figures", "constants", "measured-at")
+
+
+class SlopesTest(unittest.TestCase):
+    def test_least_squares_gives_slope_and_base(self) -> None:
+        slope = Slope("a.b", "s", "call", (1, 2, 3), ((5, 7, 9), (5, 7, 9)), "command", 0.0)
+        self.assertAlmostEqual(slope.slope(), 2.0)
+        self.assertAlmostEqual(slope.base(), 3.0)
+        self.assertAlmostEqual(slope.at(10), 23.0)
+
+    def test_two_sizes_make_no_slope(self) -> None:
+        with self.assertRaisesRegex(ValueError, "at least 3"):
+            Results().add_slope("a.b", "s", "call", [1, 2], [[1, 2]])
+
+    def test_forgetting_a_group_keeps_those_whose_name_it_begins(self) -> None:
+        results = Results()
+        results.add_slope("peer.cost", "s", "peer", [1, 2, 3], [[1, 2, 3]])
+        results.add_slope("peers.cost", "s", "peer", [1, 2, 3], [[1, 2, 3]])
+        results.forget("peer")
+        self.assertEqual(list(results.slopes_by_name), ["peers.cost"])
+
+
+class DocumentsTest(unittest.TestCase):
+    def test_instances_are_spread_over_services(self) -> None:
+        made = document(630, 82)
+        sizes = [len(service.backend_servers) for service in made.services]
+        self.assertEqual((len(sizes), sum(sizes), min(sizes), max(sizes)), (82, 630, 7, 8))
+
+
+class PageTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.results = load_results()
+        self.page = PAGE_PATH.read_text()
+
+    def test_tables_come_from_the_committed_results(self) -> None:
+        self.assertEqual(self.page, rendered(self.page, self.results))
+
+    def test_every_table_is_on_the_page(self) -> None:
+        for name in TABLES:
+            self.assertEqual(self.page.count(f"<!-- table: {name} -->"), 1, name)
+
+    def test_every_row_names_a_module_or_does_not_fit(self) -> None:
+        for row in all_rows(self.results):
+            if row.mechanism:
+                found = importlib.util.find_spec(f"sycamorebay.{row.mechanism}")
+                self.assertIsNotNone(found, row.mechanism)
+            else:
+                self.assertFalse(row.fits(), row.quantity)
+
+    def test_a_row_that_does_not_fit_says_what_would_change_that(self) -> None:
+        for row in all_rows(self.results):
+            if not row.fits():
+                self.assertTrue(row.change, row.quantity)
+
+    def test_what_does_not_fit_stands_first(self) -> None:
+        first = self.page.index("## ")
+        self.assertTrue(self.page[first:].startswith("## Does not fit yet"))
+
+    def test_each_slope_has_enough_sizes(self) -> None:
+        for slope in self.results.slopes_by_name.values():
+            self.assertGreaterEqual(len(slope.sizes), MIN_SIZES, slope.name)
+            for costs in slope.costs:
+                self.assertEqual(len(costs), len(slope.sizes), slope.name)
+
+    def test_tests_that_the_page_names_exist(self) -> None:
+        named = re.findall(r"`(test_\w+)\.(\w+)`", self.page)
+        self.assertTrue(named)
+        for module, test in named:
+            path = ROOT / "tests" / f"{module}.py"
+            self.assertTrue(path.exists(), module)
+            self.assertIn(f"def {test}(", path.read_text())
