--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 READY = $(VENV)/.ready
 
-.PHONY: install test check demo bench bench-policy capacity schema generate lock
+.PHONY: install test check demo bench bench-policy capacity soak schema generate lock
 
 install: $(READY)
 
@@ -37,6 +37,12 @@
 bench: install
 	$(BIN)/python -m bench.speed --write
 
+SEED ?= 1
+SECONDS ?= 600
+
+soak: install
+	$(BIN)/python -m bench.soak --seed $(SEED) --seconds $(SECONDS)
+
 generate:
 	thrift -r --gen py:slots -out src/sycamorebay/protocol/generated src/sycamorebay/protocol/peers.thrift
 
--- a/src/sycamorebay/transport/daemon.py
+++ b/src/sycamorebay/transport/daemon.py
@@ -16,6 +16,7 @@
 from sycamorebay.coordination.dispatch import Dispatcher
 from sycamorebay.metrics import Metrics
 from sycamorebay.settings import Settings
+from sycamorebay.transport import collector
 from sycamorebay.transport.background import Background, running
 from sycamorebay.transport.control import Control
 from sycamorebay.transport.forward import Forwarder
@@ -74,7 +75,7 @@
     def _open_operations(self) -> contextlib.AbstractAsyncContextManager[KeyedOperations]:
         return open_operations(
             self._settings,
-            self._control.membership.own,
+            self._control.membership,
             self._control.network,
             self._dispatcher.invariants,
             self._control.on_platform_call,
@@ -128,4 +129,5 @@
 
 async def serve(settings: Settings) -> None:
     """Run one entry daemon."""
+    collector.settle()
     await Daemon(settings).run()
