--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -142,7 +142,8 @@
         """Put a document in force by the operators' command line."""
         path = self.directory / "document.json"
         path.write_text(json.dumps(document))
-        self.config("apply", str(path), "--untried")
+        environment = self.shape.settings.get("environment", "production")
+        self.config("apply", str(path), "--untried", "--environment", environment)
 
     def config(self, command: str, *arguments: str, check: bool = True) -> str:
         """Run one of the operators' commands and return what it printed."""
--- a/src/sycamorebay/protocol/frames.py
+++ b/src/sycamorebay/protocol/frames.py
@@ -36,9 +36,12 @@
         Where they are not one envelope.
     """
     try:
-        return deserialize(Envelope(), payload, _FACTORY)
+        envelope = deserialize(Envelope(), payload, _FACTORY)
     except Exception as error:
         raise PeerError(f"a message could not be decoded: {error}", step="decode") from error
+    if envelope.correlation is None or envelope.body is None:
+        raise PeerError("a message lacks its body", step="decode")
+    return envelope
 
 
 def proof(secret: bytes, role: bytes, listener_nonce: bytes, dialer_nonce: bytes) -> bytes:
--- a/src/sycamorebay/transport/peers.py
+++ b/src/sycamorebay/transport/peers.py
@@ -111,7 +111,10 @@
             if future is not None and not future.done():
                 future.set_result(envelope.body)
             return
-        answer = await self._handler(envelope.body)
+        try:
+            answer = await self._handler(envelope.body)
+        except (AttributeError, TypeError, ValueError) as error:
+            raise PeerError(f"a message makes no sense: {error}", step="handle") from error
         if correlation > 0:
             failed = Body(failed=Failed("no answer to this message"))
             self._write(Envelope(-correlation, answer or failed))
--- /dev/null
+++ b/tests/test_configuration_replacing.py
@@ -0,0 +1,91 @@
+"""A fleet that is replaced, and operators who race, with real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import testtools
+
+from bench.fleet import Fleet
+from sycamorebay import log
+from sycamorebay.errors import ConflictError, PlatformError, UnsettledError
+from sycamorebay.settings import LogSettings, PlatformSettings
+from sycamorebay.transport import admin
+from sycamorebay.transport.admin import Change
+from sycamorebay.transport.platform import open_store
+from tests.fast_fleet import ENTRIES, FAST, changed, get
+from tests.support import asynchronous, document_text, small_shape
+
+log.configure(LogSettings(level="critical"))
+
+OPERATORS = 8
+CHANGES = 200
+SEED = 17
+
+
+class ReplacingTest(testtools.TestCase):
+    @asynchronous
+    async def test_a_fleet_replaced_one_by_one_and_all_at_once_never_reverts(self):
+        async with Fleet(small_shape(ENTRIES, **FAST)) as fleet:
+            for round_ in range(ENTRIES):
+                fleet.apply(changed(fleet, f"round-{round_}.test"))
+                fleet.kill(f"entry-{round_}")
+                fleet.start_entry(round_)
+                await fleet.until_ready([round_])
+                await fleet.until_in_force(range(ENTRIES), round_ + 2)
+            for index in range(ENTRIES):
+                fleet.kill(f"entry-{index}")
+            for index in range(ENTRIES):
+                fleet.start_entry(index)
+            await fleet.until_ready(range(ENTRIES))
+            for index in range(ENTRIES):
+                self.assertEqual(ENTRIES + 1, (await fleet.status(index))["revision"])
+                self.assertEqual(200, (await get(fleet, index, "round-2.test"))[0])
+
+
+class RacingOperatorsTest(testtools.TestCase):
+    @asynchronous
+    async def test_two_hundred_changes_of_eight_operators_make_one_history(self):
+        async with Fleet(small_shape(1, **FAST)) as fleet:
+            settings = PlatformSettings(fleet.platform_url, timeout_s=0.5, calls_per_second=500)
+            rng = random.Random(SEED)
+            accepted: list[str] = []
+            refused: list[str] = []
+            unsettled: list[str] = []
+
+            async def operator(number: int) -> None:
+                async with open_store(settings) as store:
+                    turn = 0
+                    while len(accepted) < CHANGES:
+                        turn += 1
+                        text = document_text(note=f"{number}-{turn}")
+                        change = Change(text, "apply", f"operator-{number}", "race")
+                        try:
+                            await admin.apply(store, "race", change)
+                            accepted.append(change.nonce)
+                        except ConflictError:
+                            refused.append(change.nonce)
+                        except (PlatformError, UnsettledError):
+                            unsettled.append(change.nonce)
+
+            async def lose_answers() -> None:
+                while True:
+                    await fleet.control_platform(lose_answers=rng.randrange(3))
+                    await asyncio.sleep(0.05)
+
+            losing = asyncio.create_task(lose_answers())
+            await asyncio.gather(*(operator(number) for number in range(OPERATORS)))
+            losing.cancel()
+            await asyncio.gather(losing, return_exceptions=True)
+            await fleet.control_platform(lose_answers=0)
+            async with open_store(settings) as store:
+                trail = (await admin.read_history(store, "race")).trail
+        nonces = [entry.nonce for entry in trail]
+        self.assertEqual(list(range(1, len(trail) + 1)), [entry.revision for entry in trail])
+        self.assertEqual(list(range(len(trail))), [entry.from_revision for entry in trail])
+        self.assertEqual(len(nonces), len(set(nonces)))
+        self.assertEqual(set(), set(accepted) - set(nonces))
+        self.assertEqual(set(), set(refused) & set(nonces))
+        self.assertEqual(set(), set(nonces) - set(accepted) - set(unsettled))
+        self.assertGreater(len(refused), 0)
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,258 @@
+"""Links between entries: strangers, rotation, replays, oversize, releases."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import struct
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from thrift.protocol.TCompactProtocol import TCompactProtocol
+from thrift.Thrift import TType
+from thrift.transport.TTransport import TMemoryBuffer
+
+from sycamorebay import log
+from sycamorebay.coordination.configuration import Configuration
+from sycamorebay.coordination.membership import Member
+from sycamorebay.coordination.news import News
+from sycamorebay.errors import PeerError
+from sycamorebay.metrics import Metrics
+from sycamorebay.protocol import frames
+from sycamorebay.protocol.documents import pack, unpack
+from sycamorebay.protocol.generated.peers.ttypes import Body, Envelope, FetchDocument, Heartbeat
+from sycamorebay.protocol.heartbeats import (
+    OLDEST_VERSION,
+    VERSION,
+    check_heartbeat,
+    heartbeat_of,
+    members_of,
+    news_of,
+)
+from sycamorebay.settings import Listen, LogSettings
+from sycamorebay.state.document import MAX_DOCUMENT_BYTES
+from sycamorebay.transport.peers import PeerNetwork
+from tests.support import asynchronous
+
+log.configure(LogSettings(level="critical"))
+
+OLD, NEW = b"the old shared secret", b"the new shared secret"
+OWN = Member("entry-1", 5, "127.0.0.1:7000", "a")
+ADDRESS = f"127.{os.getpid() // 250 % 250 + 2}.{os.getpid() % 250 + 1}.252"
+PORT = 7100
+
+
+def heartbeat(**changes) -> Heartbeat:
+    made = heartbeat_of(OWN, Configuration(), [News("s", 1.5)], [OWN])
+    for name, value in changes.items():
+        setattr(made, name, value)
+    return made
+
+
+class Peer:
+    """One listener that answers a heartbeat with another."""
+
+    def __init__(self, port: int, *secrets: bytes) -> None:
+        self.metrics = Metrics()
+        self.member = Member(f"entry-{port}", 1, f"{ADDRESS}:{port}", "a")
+        listen = Listen(ADDRESS, port)
+        self.secrets = list(secrets)
+        self.network = PeerNetwork(listen, self.secrets, self.answer, self.metrics)
+        self.heard = 0
+
+    async def answer(self, body: Body) -> Body:
+        check_heartbeat(body.heartbeat)
+        self.heard += 1
+        return Body(heartbeat=heartbeat())
+
+    def dropped(self, reason: str) -> float:
+        return self.metrics.peers_dropped.labels(reason)._value.get()
+
+
+@contextlib.asynccontextmanager
+async def peers(first: tuple[bytes, ...], second: tuple[bytes, ...]):
+    a, b = Peer(PORT, *first), Peer(PORT + 1, *second)
+    async with a.network.open(), b.network.open():
+        yield a, b
+
+
+async def exchange(a: Peer, b: Peer) -> Body:
+    link = await a.network.link(b.member)
+    return await link.call(Body(heartbeat=heartbeat()), 2.0)
+
+
+async def until(holds) -> None:
+    async with asyncio.timeout(5):
+        while not holds():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+
+
+class SecretsTest(testtools.TestCase):
+    @asynchronous
+    async def test_a_rotation_goes_through_with_two_secrets_in_any_order(self):
+        for first, second in (
+            ((OLD,), (OLD, NEW)),
+            ((OLD, NEW), (NEW, OLD)),
+            ((NEW, OLD), (OLD, NEW)),
+            ((NEW,), (NEW, OLD)),
+        ):
+            async with peers(first, second) as (a, b):
+                self.assertIsNotNone((await exchange(a, b)).heartbeat)
+                self.assertIsNotNone((await exchange(b, a)).heartbeat)
+
+    @asynchronous
+    async def test_a_stranger_is_dropped_and_counted(self):
+        async with peers((OLD,), (NEW,)) as (a, b):
+            error = await failure(exchange(a, b))
+            self.assertEqual("authenticate", error.step)
+            await until(lambda: b.dropped("stranger") == 1)
+            self.assertEqual(0, b.heard)
+
+    @asynchronous
+    async def test_a_secret_that_changes_counts_from_the_next_link_on(self):
+        async with peers((OLD,), (OLD,)) as (a, b):
+            await exchange(a, b)
+            a.secrets[:] = b.secrets[:] = [NEW]
+            await exchange(a, b)
+            a.network.drop(b.member)
+            self.assertIsNotNone((await exchange(a, b)).heartbeat)
+            self.assertEqual(3, b.heard)
+
+
+class HostileTest(testtools.TestCase):
+    async def after_bytes(self, data: bytes, reason: str) -> None:
+        """Write bytes on an authenticated link behind its back; it ends and is counted."""
+        async with peers((OLD,), (OLD,)) as (a, b):
+            link = await a.network.link(b.member)
+            await link.call(Body(heartbeat=heartbeat()), 2.0)
+            link._writer.write(data)
+            await until(lambda: b.dropped(reason) == 1)
+            self.assertEqual(1, b.heard)
+            await until(lambda: b.member.address not in a.network._links_by_address)
+            self.assertIsNotNone((await exchange(a, b)).heartbeat)
+
+    @asynchronous
+    async def test_an_oversized_frame_ends_the_link(self):
+        await self.after_bytes(struct.pack(">I", frames.MAX_FRAME_BYTES + 1), "read")
+
+    @asynchronous
+    async def test_a_forged_frame_ends_the_link(self):
+        payload = frames.encode(Envelope(0, Body(heartbeat=heartbeat())))
+        forged = struct.pack(">I", len(payload) + frames.FRAME_MAC_BYTES)
+        await self.after_bytes(forged + b"m" * frames.FRAME_MAC_BYTES + payload, "authenticate")
+
+    @asynchronous
+    async def test_an_envelope_without_a_body_ends_the_link(self):
+        async with peers((OLD,), (OLD,)) as (a, b):
+            link = await a.network.link(b.member)
+            link._write(Envelope(1, None))
+            await until(lambda: b.dropped("decode") == 1)
+
+    @asynchronous
+    async def test_a_message_that_a_handler_fails_on_ends_the_link(self):
+        async with peers((OLD,), (OLD,)) as (a, b):
+            link = await a.network.link(b.member)
+            link.send(Body(fetch_document=FetchDocument(1)))
+            await until(lambda: b.dropped("handle") == 1)
+
+    @asynchronous
+    async def test_a_replayed_frame_ends_the_link(self):
+        async with peers((OLD,), (OLD,)) as (a, b):
+            link = await a.network.link(b.member)
+            written = []
+            write = link._writer.write
+            link._writer.write = lambda data: (written.append(data), write(data))
+            await link.call(Body(heartbeat=heartbeat()), 2.0)
+            write(written[0])
+            await until(lambda: b.dropped("authenticate") == 1)
+            self.assertEqual(1, b.heard)
+
+    @asynchronous
+    async def test_a_dialer_that_says_nothing_is_dropped(self):
+        async with peers((OLD,), (OLD,)) as (_, b):
+            _, writer = await asyncio.open_connection(ADDRESS, PORT + 1)
+            await until(lambda: b.dropped("stranger") == 1)
+            writer.close()
+
+
+class ReleasesTest(testtools.TestCase):
+    def test_a_later_release_that_still_speaks_this_version_is_understood(self):
+        made = heartbeat(version=VERSION + 1, oldest_version=VERSION)
+        self.assertEqual(OWN, check_heartbeat(made))
+
+    def test_a_release_without_a_common_version_is_not(self):
+        for changes in ({"oldest_version": VERSION + 1}, {"version": OLDEST_VERSION - 1}):
+            error = self.assertRaises(PeerError, check_heartbeat, heartbeat(**changes))
+            self.assertEqual("version", error.step)
+
+    def test_fields_of_a_later_release_are_skipped(self):
+        buffer = TMemoryBuffer()
+        protocol = TCompactProtocol(buffer)
+        protocol.writeStructBegin("FetchDocument")
+        protocol.writeFieldBegin("newer_than", TType.I64, 1)
+        protocol.writeI64(7)
+        protocol.writeFieldEnd()
+        protocol.writeFieldBegin("later", TType.STRING, 40)
+        protocol.writeString("unknown here")
+        protocol.writeFieldEnd()
+        protocol.writeFieldStop()
+        protocol.writeStructEnd()
+        read = FetchDocument()
+        read.read(TCompactProtocol(TMemoryBuffer(buffer.getvalue())))
+        self.assertEqual(7, read.newer_than)
+
+    def test_nonsense_is_refused(self):
+        wire = heartbeat().sender
+        for name, value in (("address", "nowhere"), ("id", ""), ("id", "x" * 65)):
+            made = heartbeat()
+            setattr(made.sender, name, value)
+            self.assertRaises(PeerError, check_heartbeat, made)
+        self.assertRaises(PeerError, check_heartbeat, heartbeat(sender=None))
+        self.assertRaises(PeerError, check_heartbeat, heartbeat(revision=-1))
+        self.assertEqual([News("s", 1.5)], news_of(heartbeat()))
+        self.assertEqual([OWN], members_of(heartbeat(sender=wire)))
+
+
+class CodecTest(testtools.TestCase):
+    @given(st.binary(max_size=300))
+    @settings(derandomize=True, max_examples=500, deadline=None)
+    def test_noise_decodes_or_is_an_error_of_its_own_kind(self, noise):
+        with contextlib.suppress(PeerError):
+            envelope = frames.decode(noise)
+            if envelope.body is not None and envelope.body.heartbeat is not None:
+                members_of(envelope.body.heartbeat)
+                check_heartbeat(envelope.body.heartbeat)
+
+    @given(st.data())
+    @settings(derandomize=True, max_examples=500, deadline=None)
+    def test_a_damaged_heartbeat_decodes_or_is_an_error_of_its_own_kind(self, data):
+        payload = bytearray(frames.encode(Envelope(3, Body(heartbeat=heartbeat()))))
+        for _ in range(data.draw(st.integers(1, 4))):
+            payload[data.draw(st.integers(0, len(payload) - 1))] = data.draw(st.integers(0, 255))
+        with contextlib.suppress(PeerError):
+            envelope = frames.decode(bytes(payload))
+            if envelope.body is not None and envelope.body.heartbeat is not None:
+                check_heartbeat(envelope.body.heartbeat)
+                members_of(envelope.body.heartbeat)
+                news_of(envelope.body.heartbeat)
+
+    @given(st.binary(max_size=200))
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    def test_a_packed_document_comes_back_and_noise_is_an_error(self, text):
+        self.assertEqual(text, unpack(pack(text)))
+        with contextlib.suppress(PeerError):
+            unpack(text)
+
+    def test_a_packed_document_is_bounded_once_opened(self):
+        self.assertRaises(PeerError, unpack, pack(b"\0" * (MAX_DOCUMENT_BYTES + 1)))
+        self.assertRaises(PeerError, unpack, pack(b"whole")[:-2])
+
+
+async def failure(work) -> PeerError:
+    try:
+        await work
+    except PeerError as error:
+        return error
+    raise AssertionError("no error")
