--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 READY = $(VENV)/.ready
 
-.PHONY: install test check demo bench capacity schema generate lock
+.PHONY: install test check demo bench bench-policy capacity soak schema generate lock
 
 install: $(READY)
 
@@ -27,6 +27,22 @@
 capacity: install
 	$(BIN)/python -m bench.capacity all
 
+bench-policy: install
+	$(BIN)/python -m bench.decision_cost
+	for scenario in choice overload crest long-work slow-server failing-server; do \
+		$(BIN)/python -m bench.policy run $$scenario || exit 1; \
+	done
+	$(BIN)/python -m bench.report
+
+bench: install
+	$(BIN)/python -m bench.speed --write
+
+SEED ?= 1
+SECONDS ?= 600
+
+soak: install
+	$(BIN)/python -m bench.soak --seed $(SEED) --seconds $(SECONDS)
+
 generate:
 	thrift -r --gen py:slots -out src/sycamorebay/protocol/generated src/sycamorebay/protocol/peers.thrift
 
--- a/src/sycamorebay/coordination/service.py
+++ b/src/sycamorebay/coordination/service.py
@@ -47,6 +47,7 @@
         self.service = service
         self.backends: list[BackendState] = []
         self.retries = RetryBudget(service.limits.retry_ratio)
+        self.hedges = RetryBudget(service.limits.hedge_ratio)
         self.limit = AdaptiveLimit(self._slots(service))
         self.short = WorkState()
         self.long = WorkState()
@@ -58,29 +59,32 @@
         self.service = service
         self.backends = [state for state in backends if service.allows(state.server)]
         self.retries.ratio = service.limits.retry_ratio
+        self.hedges.ratio = service.limits.hedge_ratio
         self.limit.resize(self._slots(service), len(entries))
         share = service.limits.long_share
         servers = [state.server for state in self.backends]
         own_slots = assigned_slots(servers, entries, lambda server: server.slots)
         for state in self.backends:
             state.own_slots = own_slots[state.server.id]
+            state.near = state.server.failure_domain == entries.own.failure_domain
         self.own_long_slots = assigned_slots(
-            servers, entries, lambda server: long_slots(server, share), at_least_one=True
+            servers, entries, lambda server: long_slots(server, share)
         )
 
     @staticmethod
     def _slots(service: Service) -> int:
         return sum(server.slots for server in service.backend_servers)
 
-    def of(self, work: str) -> WorkState:
-        """Return the state of a class of work."""
-        return self.long if work == LONG else self.short
-
     def on_bad(self, now: float, state: BackendState) -> None:
         """Take a request that a backend server failed."""
         share = self.service.limits.eject_share
         self.outliers.on_failure(now, state, self.backends, share)
 
+    def on_lost_race(self, now: float, state: BackendState) -> None:
+        """Take a hedge that answered before the backend server that was asked first."""
+        share = self.service.limits.eject_share
+        self.outliers.on_lost_race(now, state, self.backends, share)
+
     def on_overdue(self, now: float, state: BackendState) -> None:
         """Take a request that waits for its answer far longer than usual."""
         self.outliers.eject(now, state, self.backends, self.service.limits.eject_share)
--- a/tests/fast_fleet.py
+++ b/tests/fast_fleet.py
@@ -32,16 +32,18 @@
 
 NO_PROBES = {"probes_per_entry": 0, "probes_per_backend_server": 0}
 LEAVER = "desk-1"
+BURST = 40
 
 
 def probes(fleet: Fleet, measuring: dict[str, Any]) -> dict[str, Any]:
-    """Return the fleet's document with another budget for probes."""
-    return {**fleet.document, "measuring": measuring}
+    """Return the fleet's document with another budget for probes, and a queue for a `burst`."""
+    services = [{**one, "limits": {"queue_length": BURST}} for one in fleet.document["services"]]
+    return {**fleet.document, "services": services, "measuring": measuring}
 
 
 async def burst(fleet: Fleet, index: int) -> set[int]:
     """Ask for more at once than the servers that one entry prefers have slots."""
-    asked = [get(fleet, index, "desk.test") for _ in range(40)]
+    asked = [get(fleet, index, "desk.test") for _ in range(BURST)]
     return {status for status, _ in await asyncio.gather(*asked)}
 
 
