--- a/src/sycamorebay/commands/config.py
+++ b/src/sycamorebay/commands/config.py
@@ -20,7 +20,7 @@
 from sycamorebay.errors import PlatformError
 from sycamorebay.settings import LogSettings
 from sycamorebay.state.difference import differences
-from sycamorebay.state.document import load_document
+from sycamorebay.state.review import review_document
 from sycamorebay.transport import admin
 from sycamorebay.transport.admin import Accepted, Change
 from sycamorebay.transport.platform import Store
@@ -89,7 +89,7 @@
 def config_check(path: str, as_json: bool) -> None:
     """Check a document and name every fault."""
     with exit_codes(path, as_json):
-        load_document(_read(path))
+        review_document(_read(path))
     tell({"outcome": "no faults"}, f"{path}: no faults", as_json)
 
 
@@ -102,7 +102,7 @@
     """Show what a file would change; exits with 1 where something differs."""
     with exit_codes(path, as_json):
         text = _read(path)
-        load_document(text)
+        review_document(text)
         history = with_store(url, lambda store: admin.read_history(store, environment))
     before = json.loads(history.record.revision.text) if history.record else {}
     found = differences(before, json.loads(text))
--- a/src/sycamorebay/transport/admin.py
+++ b/src/sycamorebay/transport/admin.py
@@ -38,7 +38,8 @@
     encode_record,
     encode_trail,
 )
-from sycamorebay.state.document import digest_of, load_document
+from sycamorebay.state.document import digest_of
+from sycamorebay.state.review import review_document
 from sycamorebay.transport.platform import Store, Write
 
 MAX_TEXTS = 20
@@ -203,7 +204,7 @@
     UnsettledError
         Where it can't be told whether the change took effect.
     """
-    load_document(change.text)
+    review_document(change.text)
     history = await read_history(store, environment)
     known = _known(history, change)
     if known is not None:
