--- a/tests/test_operations_ranges.py
+++ b/tests/test_operations_ranges.py
@@ -23,7 +23,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.past: tuple[Stored, ...] | None = None
+        self.old_list: tuple[Stored, ...] | None = None
         self.lengths: list[int] = []
         self.lapsed: set[int] = set()
 
@@ -43,7 +43,7 @@
 
     async def read_prefix(self, prefix: str) -> Listing:
         listing = await super().read_prefix(prefix)
-        return listing if self.past is None else Listing(self.past, listing.version)
+        return listing if self.old_list is None else Listing(self.old_list, listing.version)
 
 
 class Registries:
@@ -82,10 +82,10 @@
         made = Registries()
         registry = made.registry(member())
         await registry.read()
-        made.store.past = tuple(made.store.values.values())
+        made.store.old_list = tuple(made.store.values.values())
         with testtools.ExpectedException(PlatformError, ".*from the past"):
             await registry.read()
-        made.store.past = ()
+        made.store.old_list = ()
         with testtools.ExpectedException(PlatformError, ".*from the past"):
             await registry.read()
 
