Don't hammer an outage when a revision came from a peer

Cause: the event that wakes the registration for its report was cleared only after a renewal that succeeded, so that every wait ended at once while the platform was down. Seen while reading; the new test failed with the old code, which also showed that the back-off overflowed after 1024 failures in a row. News beyond the bound started a round each time it was told; it counts as new once.

--- a/src/sycamorebay/coordination/news.py
+++ b/src/sycamorebay/coordination/news.py
@@ -18,6 +18,22 @@
     age_s: float
 
 
+@attrs.frozen
+class Told:
+    """What a peer's news brought.
+
+    Attributes
+    ----------
+    seen_at_by_id : dict
+        When each backend server was seen to be leaving, where that is younger than known here.
+    new : bool
+        Whether any of them was not known here.
+    """
+
+    seen_at_by_id: dict[str, float]
+    new: bool
+
+
 class LeavingNews:
     """When each backend server was last known to be leaving.
 
@@ -36,16 +52,18 @@
             self._seen_at_by_id[server_id] = now
         return new
 
-    def on_told(self, now: float, news: Iterable[News]) -> dict[str, float]:
-        """Take a peer's news; return when each that is younger than known here was seen."""
+    def on_told(self, now: float, news: Iterable[News]) -> Told:
+        """Take a peer's news."""
         younger: dict[str, float] = {}
+        new = False
         for item in list(news)[:MAX_NEWS]:
             seen_at = now - max(0.0, item.age_s)
             known_at = self._seen_at_by_id.get(item.server_id)
             if now - seen_at < NEWS_LIFE_S and (known_at is None or seen_at > known_at):
+                new = new or known_at is None
                 self._seen_at_by_id[item.server_id] = seen_at
                 younger[item.server_id] = seen_at
-        return younger
+        return Told(younger, new)
 
     def outgoing(self, now: float) -> list[News]:
         """Return the news to pass on, youngest first and bounded."""
--- a/src/sycamorebay/coordination/pace.py
+++ b/src/sycamorebay/coordination/pace.py
@@ -44,14 +44,14 @@
 
     def __init__(self, rng: Random) -> None:
         self._rng = rng
-        self._failures = 0
+        self._longest_s = BACKOFF_FIRST_S
 
     def on_success(self) -> None:
         """Start over."""
-        self._failures = 0
+        self._longest_s = BACKOFF_FIRST_S
 
     def on_failure(self) -> float:
         """Return how many seconds to wait before the next try."""
-        longest_s = min(BACKOFF_LONGEST_S, BACKOFF_FIRST_S * 2.0**self._failures)
-        self._failures += 1
+        longest_s = self._longest_s
+        self._longest_s = min(BACKOFF_LONGEST_S, 2.0 * longest_s)
         return self._rng.uniform(0.0, longest_s)
--- a/src/sycamorebay/transport/news.py
+++ b/src/sycamorebay/transport/news.py
@@ -49,11 +49,10 @@
     def on_told(self, news: Sequence[News]) -> None:
         """Take a peer's news; what is new goes on at once."""
         now = time.monotonic()
-        known = {item.server_id for item in self._news.outgoing(now)}
-        younger = self._news.on_told(now, news)
-        for server_id, seen_at in younger.items():
+        told = self._news.on_told(now, news)
+        for server_id, seen_at in told.seen_at_by_id.items():
             self._dispatcher.on_leaving(seen_at, server_id)
-        if younger.keys() - known:
+        if told.new:
             self.soon.set()
 
 
--- a/src/sycamorebay/transport/registration.py
+++ b/src/sycamorebay/transport/registration.py
@@ -21,6 +21,8 @@
 from sycamorebay.transport.in_force import RevisionInForce
 from sycamorebay.transport.platform import Store
 
+REPORT_SPREAD_S = 0.5
+
 _log = log.part("registration")
 
 
@@ -55,20 +57,23 @@
     async def run(self) -> None:
         """Renew until cancelled."""
         while True:
+            self._in_force.changed.clear()
             try:
                 await self._renew()
                 await self._report()
-                self._backoff.on_success()
-                wait_s = self.lease.renew_in_s(boottime(), self._rng)
             except PlatformError as error:
                 _log.warning("registration failed", step=error.step, reason=str(error))
-                wait_s = self._backoff.on_failure()
-            await self._wait(wait_s)
+                await asyncio.sleep(self._backoff.on_failure())
+                continue
+            self._backoff.on_success()
+            await self._until_due()
 
-    async def _wait(self, wait_s: float) -> None:
+    async def _until_due(self) -> None:
+        """Wait for the next renewal or a new revision; members don't report it all at once."""
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(wait_s):
+            async with asyncio.timeout(self.lease.renew_in_s(boottime(), self._rng)):
                 await self._in_force.changed.wait()
+                await asyncio.sleep(REPORT_SPREAD_S * self._rng.random())
 
     async def _renew(self) -> None:
         asked_at = boottime()
@@ -78,24 +83,33 @@
                 return
             self.lease.on_lapsed()
         if self.lease.number == 0:
+            version = await self._registered_version()
             number = await self._store.grant(self.lease.length_s)
-            await self._register(number)
+            await self._register(version, number)
             self.lease.on_granted(number, asked_at)
             self._reported = Report("", 0, 0, "")
 
-    async def _register(self, lease: int) -> None:
-        """Write the registration, but over no newer incarnation of this entry."""
+    async def _registered_version(self) -> int:
+        """Return the version of the registration to replace; 0 for none.
+
+        Raises
+        ------
+        PlatformError
+            Where a newer incarnation of this entry is registered.
+        """
         stored = await self._store.read(self._key)
-        value = stored.value if stored is not None else None
-        if value is not None and incarnation_of(value) > self._own.incarnation:
+        if stored is None or stored.value is None:
+            return 0
+        if incarnation_of(stored.value) > self._own.incarnation:
             raise PlatformError("a newer incarnation is registered", step="register")
-        version = stored.version if stored is not None else 0
+        return stored.version
+
+    async def _register(self, version: int, lease: int) -> None:
         value = json.dumps(attrs.asdict(self._own)).encode()
         if not await self._store.swap(self._key, value, version, lease=lease):
             raise PlatformError("the registration changed", step="register")
 
     async def _report(self) -> None:
-        self._in_force.changed.clear()
         configuration = self._in_force.configuration
         report = Report(
             self._own.id, self._own.incarnation, configuration.number, configuration.digest
--- a/tests/test_configuration_conformance.py
+++ b/tests/test_configuration_conformance.py
@@ -175,7 +175,7 @@
             registration = Registration(SETTINGS, store, own, None)
             for _ in range(2):
                 try:
-                    await registration._register(1)
+                    await registration._register(await registration._registered_version(), 1)
                 except PlatformError:
                     continue
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -102,7 +102,7 @@
 
     def test_back_off_grows_to_a_bound_and_starts_over(self):
         backoff = Backoff(Random(SEED))
-        waits = [backoff.on_failure() for _ in range(200)]
+        waits = [backoff.on_failure() for _ in range(5000)]
         self.assertLessEqual(max(waits), BACKOFF_LONGEST_S)
         self.assertGreater(max(waits[10:]), BACKOFF_LONGEST_S * 0.9)
         backoff.on_success()
