--- a/tests/fast_fleet.py
+++ b/tests/fast_fleet.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import Any
 
+import aiohttp
+
 from bench.fleet import Fleet
 
 ENTRIES = 3
@@ -50,3 +53,13 @@
 async def runs(fleet: Fleet) -> int:
     """Return how many requests the leaving backend server was sent."""
     return (await fleet.counted_by_backend())[LEAVER]["counts"].get("taken", 0)
+
+
+async def until_live(fleet: Fleet, index: int) -> None:
+    """Wait until an entry listens."""
+    async with asyncio.timeout(10):
+        while True:
+            with contextlib.suppress(aiohttp.ClientError):
+                await fleet.operator(index, "/live")
+                return
+            await asyncio.sleep(0.01)
--- a/tests/test_cli_config.py
+++ b/tests/test_cli_config.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import json
-import subprocess
-import sys
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import testtools
+from click.testing import CliRunner
 
 from bench.fleet import Fleet
+from sycamorebay.cli import main
 from tests.fast_fleet import FAST, changed
 from tests.support import asynchronous, small_shape
 
@@ -21,12 +22,13 @@
         self.fleet = fleet
 
     def __call__(self, command: str, *arguments: str, code: int = 0) -> str:
-        words = [sys.executable, "-m", "sycamorebay", "config", command, *arguments]
+        words = ["config", command, *arguments]
         if command != "check":
             words += ["--platform", self.fleet.platform_url]
-        done = subprocess.run(words, capture_output=True, text=True, timeout=30)
-        if done.returncode != code:
-            raise AssertionError(f"{command}: {done.returncode}\n{done.stdout}\n{done.stderr}")
+        with ThreadPoolExecutor(1) as pool:
+            done = pool.submit(CliRunner().invoke, main, words).result()
+        if done.exit_code != code:
+            raise AssertionError(f"{command}: {done.exit_code}\n{done.output}\n{done.exception}")
         return done.stdout
 
     def write(self, name: str, document: dict) -> str:
--- a/tests/test_configuration_fleet.py
+++ b/tests/test_configuration_fleet.py
@@ -7,7 +7,7 @@
 import testtools
 
 from bench.fleet import Fleet
-from tests.fast_fleet import ENTRIES, FAST, HEARTBEATS_ONLY, changed, get
+from tests.fast_fleet import ENTRIES, FAST, HEARTBEATS_ONLY, changed, get, until_live
 from tests.support import asynchronous, small_shape
 
 
@@ -54,6 +54,8 @@
                 fleet.kill(f"entry-{index}")
             for index in range(ENTRIES):
                 fleet.start_entry(index)
+            for index in range(ENTRIES):
+                await until_live(fleet, index)
             await asyncio.sleep(3)
             for index in range(ENTRIES):
                 status, body = await get(fleet, index, "desk.test")
--- a/tests/test_configuration_stale.py
+++ b/tests/test_configuration_stale.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import signal
 from typing import Any
 
@@ -11,7 +10,7 @@
 import testtools
 
 from bench.fleet import Fleet
-from tests.fast_fleet import ENTRIES, FAST, changed, get
+from tests.fast_fleet import ENTRIES, FAST, changed, get, until_live
 from tests.support import asynchronous, small_shape
 
 
@@ -73,13 +72,3 @@
             except aiohttp.ClientError:
                 await asyncio.sleep(0.002)
     return statuses
-
-
-async def until_live(fleet: Fleet, index: int) -> None:
-    """Wait until an entry listens."""
-    async with asyncio.timeout(10):
-        while True:
-            with contextlib.suppress(aiohttp.ClientError):
-                await fleet.operator(index, "/live")
-                return
-            await asyncio.sleep(0.01)
