--- a/tests/test_admission_path.py
+++ b/tests/test_admission_path.py
@@ -20,6 +20,18 @@
             await self.check_deadline(fleet)
             await self.check_long_wait(fleet)
 
+    @asynchronous
+    async def test_a_total_failure_is_not_amplified(self):
+        async with Fleet(small_shape(1)) as fleet:
+            for _ in range(100):
+                await ask(fleet, "/prices/7")
+            for fault, count in (({"shed": True}, "shed"), ({"fail": True}, "failed")):
+                await fleet.control_backend("all", **{"shed": False, **fault})
+                told = [await ask(fleet, "/prices/7") for _ in range(100)]
+                self.assertEqual({503 if count == "shed" else 500}, {one[0] for one in told})
+                counted = (await fleet.counted_by_backend()).values()
+                self.assertLessEqual(sum(one["counts"].get(count, 0) for one in counted), 110)
+
     async def check_burst(self, fleet: Fleet) -> None:
         """More than slots and queue hold: each is served or told not-run by admission."""
         told = await asyncio.gather(*(ask(fleet, "/prices/7?work_ms=50") for _ in range(60)))
@@ -67,4 +79,4 @@
     async with fleet.http.get(url, headers={**HOST, **(headers or {})}) as response:
         body = await response.json(content_type=None)
         after = int(response.headers.get("retry-after", "0"))
-        return response.status, body.get("step", ""), after
+        return response.status, (body or {}).get("step", ""), after
