--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 READY = $(VENV)/.ready
 
-.PHONY: install test check demo bench bench-policy capacity schema generate lock
+.PHONY: install test check demo bench bench-policy capacity soak schema generate lock
 
 install: $(READY)
 
@@ -24,9 +24,6 @@
 demo: install
 	$(BIN)/python -m bench.demo
 
-bench: install
-	$(BIN)/python -m bench.speed --write
-
 capacity: install
 	$(BIN)/python -m bench.capacity all
 
@@ -37,6 +34,15 @@
 	done
 	$(BIN)/python -m bench.report
 
+bench: install
+	$(BIN)/python -m bench.speed --write
+
+SEED ?= 1
+SECONDS ?= 600
+
+soak: install
+	$(BIN)/python -m bench.soak --seed $(SEED) --seconds $(SECONDS)
+
 generate:
 	thrift -r --gen py:slots -out src/sycamorebay/protocol/generated src/sycamorebay/protocol/peers.thrift
 
--- a/bench/capacity/revisions.py
+++ b/bench/capacity/revisions.py
@@ -3,25 +3,29 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import time
+from collections.abc import Awaitable
 
 from bench.capacity.documents import document_text
-from bench.capacity.entries import fleet_of, usage
+from bench.capacity.entries import change, fleet_of, platform_calls, platform_total, usage
 from bench.capacity.slopes import Results
 from bench.fleet import Fleet
-from sycamorebay.settings import PlatformSettings
-from sycamorebay.transport import admin
-from sycamorebay.transport.platform import open_store
 
 INSTANCES = (30, 150, 630)
 SERVICES = 10
 CHANGES = 8
+CHANGE_S = 0.2
 REPEATS = 2
 ENTRIES = (2, 6, 12)
 IN_FORCE_CHANGES = 5
+CALLS_CHANGES = 4
+CALLS_S = 4.0
 LIMIT_S = 20.0
-ENVIRONMENT = "production"
+LOOK_S = 0.02
+
+_variants = itertools.count(1)
 
 
 def measure(results: Results) -> None:
@@ -36,39 +40,61 @@
     results.add_slope("revisions.cpu", "s", "instance", INSTANCES, cpu)
     read = [[one[1] for one in repeat] for repeat in rounds]
     results.add_slope("revisions.bytes", "B", "instance", INSTANCES, read)
-    waits = []
+    waits, calls = [], []
     for entries in ENTRIES:
         async with fleet_of(entries, backend_processes=1) as fleet:
+            calls.append(await _calls_per_change(fleet))
             waits.append([await _in_force_s(fleet) for _ in range(IN_FORCE_CHANGES)])
     repeats = [list(one) for one in zip(*waits, strict=True)]
     results.add_slope("revisions.in_force", "s", "entry", ENTRIES, repeats)
+    results.add_slope("revisions.calls", "calls", "entry", ENTRIES, [calls])
+
+
+async def _calls_per_change(fleet: Fleet) -> float:
+    """Return calls at the platform's service for each change, beyond those of a calm fleet."""
+    calm = await _calls_in(fleet, asyncio.sleep(CALLS_S))
+    return (await _calls_in(fleet, _changes_within(fleet, CALLS_S)) - calm) / CALLS_CHANGES
+
+
+async def _calls_in(fleet: Fleet, work: Awaitable[None]) -> float:
+    before = platform_total(await platform_calls(fleet))
+    await work
+    return platform_total(await platform_calls(fleet)) - before
+
+
+async def _changes_within(fleet: Fleet, seconds: float) -> None:
+    async with asyncio.TaskGroup() as tasks:
+        tasks.create_task(asyncio.sleep(seconds))
+        for _ in range(CALLS_CHANGES):
+            await change(fleet, document_text(INSTANCES[0], SERVICES, next(_variants)))
+            await asyncio.sleep(seconds / CALLS_CHANGES / 2)
 
 
 async def _change_cost(fleet: Fleet, instances: int) -> tuple[float, float]:
-    """Return an entry's processor time and bytes per change."""
+    """Return an entry's processor time and bytes for each change."""
     before = usage(fleet)
     for _ in range(CHANGES):
-        await _change(fleet, instances)
+        revision = await change(fleet, document_text(instances, SERVICES, next(_variants)))
+        await asyncio.sleep(CHANGE_S)
+    await _until_in_force(fleet, revision)
     used = usage(fleet) - before
     return used.cpu_s / CHANGES, used.io_bytes / CHANGES
 
 
 async def _in_force_s(fleet: Fleet) -> float:
+    """Return the time from a change's acceptance until every entry has it in force."""
+    text = document_text(INSTANCES[-1], SERVICES, next(_variants))
+    revision = await change(fleet, text)
     started = time.monotonic()
-    await _change(fleet, INSTANCES[-1])
+    await _until_in_force(fleet, revision)
     return time.monotonic() - started
 
 
-async def _change(fleet: Fleet, instances: int) -> None:
-    """Make a change and wait until every entry has it in force."""
-    text = document_text(instances, SERVICES)
-    change = admin.Change(text, "apply", "operator", "one more instance for the evening")
-    async with open_store(PlatformSettings(url=fleet.platform_url)) as store:
-        record = await admin.apply(store, ENVIRONMENT, change)
+async def _until_in_force(fleet: Fleet, revision: int) -> None:
     async with asyncio.timeout(LIMIT_S):
         for index in range(fleet.shape.entries):
-            while await _revision(fleet, index) < record.revision.number:  # noqa: ASYNC110
-                await asyncio.sleep(0.02)
+            while await _revision(fleet, index) < revision:  # noqa: ASYNC110
+                await asyncio.sleep(LOOK_S)
 
 
 async def _revision(fleet: Fleet, index: int) -> int:
