--- a/src/sycamorebay/coordination/service.py
+++ b/src/sycamorebay/coordination/service.py
@@ -75,15 +75,16 @@
     def _slots(service: Service) -> int:
         return sum(server.slots for server in service.backend_servers)
 
-    def of(self, work: str) -> WorkState:
-        """Return the state of a class of work."""
-        return self.long if work == LONG else self.short
-
     def on_bad(self, now: float, state: BackendState) -> None:
         """Take a request that a backend server failed."""
         share = self.service.limits.eject_share
         self.outliers.on_failure(now, state, self.backends, share)
 
+    def on_lost_race(self, now: float, state: BackendState) -> None:
+        """Take a hedge that answered before the backend server that was asked first."""
+        share = self.service.limits.eject_share
+        self.outliers.on_lost_race(now, state, self.backends, share)
+
     def on_overdue(self, now: float, state: BackendState) -> None:
         """Take a request that waits for its answer far longer than usual."""
         self.outliers.eject(now, state, self.backends, self.service.limits.eject_share)
