--- a/bench/speed.py
+++ b/bench/speed.py
@@ -245,10 +245,10 @@
             f"resident: {idle_mb:.0f} MB idle, {load_mb:.0f} MB after the load",
         ]
         if stream_bytes:
-            for name, stream in (("answer", bench.download), ("request body", bench.upload)):
+            for name, stream in (("an answer", bench.download), ("a request body", bench.upload)):
                 before, peak = await stream(stream_bytes)
                 lines.append(
-                    f"resident while streaming a {name} of {stream_bytes / 1e9:g} GB: "
+                    f"resident while streaming {name} of {stream_bytes / 1e9:g} GB: "
                     f"{before:.0f} MB before, {peak:.0f} MB at the peak"
                 )
     lines.append(f"load average {os.getloadavg()[0]:.1f} at the end")
--- a/src/sycamorebay/transport/caller_protocol.py
+++ b/src/sycamorebay/transport/caller_protocol.py
@@ -78,6 +78,7 @@
         self._in_body = False
         self._progress = False
         self._head_bytes = 0
+        self._head_timed = False
         self._deaf = False
         self._timer: asyncio.TimerHandle | None = None
         self._running: RequestResponseCycle | None = None
@@ -96,7 +97,6 @@
         self._unset_keepalive_if_required()
         self._disarm()
         self._deaf = True
-        self.pipeline.clear()
         running = self._running
         if running is not None and not running.response_complete:
             running.disconnected = True
@@ -174,8 +174,9 @@
             if self._head_bytes > self._listener.limits.head_bytes:
                 self._refuse(TOO_LARGE)
                 return
-        if (self._in_head or not self._progress) and self._timer is None:
+        if (self._in_head or not self._progress) and not self._head_timed:
             self._arm(self._listener.limits.head_s, self._on_head_timeout)
+            self._head_timed = True
 
     def on_message_begin(self) -> None:
         """Start counting a head."""
@@ -204,6 +205,7 @@
     def on_headers_complete(self) -> None:
         """Check the head and start its request."""
         self._in_head = False
+        self._head_timed = False
         self._disarm()
         version = self.parser.get_http_version()
         fault = head_fault(self.parser.get_method(), self.url, version, self.headers)
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -194,7 +194,8 @@
 
     @on_uvloop
     async def test_a_head_that_drips_is_refused_in_time(self):
-        async with one_entry(answer_ok, limits=QUICK) as entry, asyncio.timeout(5):
+        limits = CallerLimits(head_s=0.3, idle_s=60.0)
+        async with one_entry(answer_ok, limits=limits) as entry, asyncio.timeout(5):
             reader, writer = await entry.connect()
             drip = asyncio.create_task(
                 _drip(writer, b"GET /prices HTTP/1.1\r\n" + b"x-a: 1\r\n" * 99)
@@ -203,6 +204,16 @@
             drip.cancel()
             writer.close()
 
+    @on_uvloop
+    async def test_empty_lines_do_not_keep_a_connection(self):
+        limits = CallerLimits(head_s=0.3, idle_s=60.0)
+        async with one_entry(answer_ok, limits=limits) as entry, asyncio.timeout(5):
+            reader, writer = await entry.connect()
+            drip = asyncio.create_task(_drip(writer, b"\r\n" * 500))
+            self.assertEqual(b"", await reader.read())
+            drip.cancel()
+            writer.close()
+
     @on_uvloop
     async def test_silent_connections_end(self):
         async with one_entry(answer_ok, limits=QUICK) as entry, asyncio.timeout(5):
--- a/tests/test_forward_endings.py
+++ b/tests/test_forward_endings.py
@@ -6,6 +6,7 @@
 
 import testtools
 
+from sycamorebay.transport.forward import ForwardedBody
 from tests.one_entry import Exchange, OneEntry, answer, eventually, on_uvloop, one_entry
 
 HEAD = b"HTTP/1.1 200 OK\r\ncontent-length: 1000000\r\n\r\n"
@@ -26,6 +27,24 @@
     await exchange.reader.read()
 
 
+class _TwoChunks:
+    """A backend server's answer of two chunks."""
+
+    def __init__(self) -> None:
+        self.left = [b"a", b"b"]
+        self.released = 0
+
+    async def chunks(self):
+        while self.left:
+            yield self.left.pop(0)
+
+    def ended(self) -> bool:
+        return not self.left
+
+    def release(self) -> None:
+        self.released += 1
+
+
 class EndingsTest(testtools.TestCase):
     async def assert_freed(self, entry: OneEntry) -> None:
         freed = await eventually(lambda: entry.in_flight == 0)
@@ -211,3 +230,15 @@
             self.assertLess(len(entry.backends[0].exchanges), 300)
             writer.transport.abort()
             await self.assert_freed(entry)
+
+    @on_uvloop
+    async def test_the_slot_is_free_once_the_last_chunk_was_read(self):
+        ends = []
+        two = _TwoChunks()
+        body = ForwardedBody(two, 0.0, "", "", lambda: ends.append(1))
+        chunks = aiter(body)
+        self.assertEqual((b"a", 0, []), (await anext(chunks), two.released, ends))
+        self.assertEqual((b"b", 1, [1]), (await anext(chunks), two.released, ends))
+        self.assertIsNone(await anext(chunks, None))
+        body.close()
+        self.assertEqual((1, [1]), (two.released, ends))
--- a/tests/test_forward_first_byte.py
+++ b/tests/test_forward_first_byte.py
@@ -10,8 +10,8 @@
 import aiohttp
 import testtools
 
-from sycamorebay.transport.upstream import AiohttpUpstream
-from tests.one_entry import OK, Exchange, OneEntry, answer_ok, on_uvloop, one_entry
+from sycamorebay.transport.upstream import AiohttpUpstream, AttemptError, OutgoingRequest
+from tests.one_entry import OK, Exchange, OneEntry, ScriptedBackend, answer_ok, on_uvloop, one_entry
 
 GET = "/prices/1"
 NOT_RUN = b"sycamorebay-outcome: not-run"
@@ -32,6 +32,17 @@
         return await super()._create_connection(*args, **kwargs)
 
 
+class _LateConnector(aiohttp.TCPConnector):
+    """Counts the connections that it opened."""
+
+    connected = 0
+
+    async def _create_connection(self, *args, **kwargs):
+        made = await super()._create_connection(*args, **kwargs)
+        self.connected += 1
+        return made
+
+
 @contextlib.asynccontextmanager
 async def held_entry() -> AsyncIterator[tuple[OneEntry, _HeldConnector]]:
     async with (
@@ -76,6 +87,21 @@
             self.assertIn(NOT_RUN, got)
             self.assertEqual(0, entry.in_flight)
 
+    @on_uvloop
+    async def test_a_deadline_that_passed_at_the_first_byte_is_not_run(self):
+        backend = ScriptedBackend()
+        await backend.start()
+        async with _LateConnector() as connector:
+            request = OutgoingRequest(backend.address, "GET", "/", [], None, None, deadline=2.0)
+
+            def clock() -> float:
+                return connector.connected * 5.0
+
+            with testtools.ExpectedException(AttemptError, "no time is left"):
+                await AiohttpUpstream(connector, clock).send(request, lambda: True)
+        self.assertEqual([], backend.exchanges)
+        backend.stop()
+
     @on_uvloop
     async def test_the_deadline_that_travels_is_what_is_left_at_the_first_byte(self):
         async with held_entry() as (entry, connector):
