--- a/tests/test_forward_fleet.py
+++ b/tests/test_forward_fleet.py
@@ -17,7 +17,7 @@
 class ForwardFleetTest(testtools.TestCase):
     @asynchronous
     async def test_leaving_callers_cancel_and_a_stop_ends_connections_in_time(self):
-        async with Fleet(small_shape(1, stop={"notice_s": 0.5, "limit_s": 5})) as fleet:
+        async with Fleet(small_shape(1, stop={"notice_s": 3.0, "limit_s": 5})) as fleet:
             await self.check_cancelled(fleet)
             await self.check_stop(fleet)
 
@@ -26,15 +26,21 @@
             asyncio.create_task(fleet.http.get(fleet.url(0) + "/prices?work_ms=1500", headers=HOST))
             for _ in range(6)
         ]
-        await asyncio.sleep(0.3)
+        await self.until_counted(fleet, "taken", 6)
         for call in calls:
             call.cancel()
         await asyncio.gather(*calls, return_exceptions=True)
-        await asyncio.sleep(0.3)
+        await self.until_counted(fleet, "cancelled", 6)
+        self.assertEqual(0, await self.counted(fleet, "ran"))
+
+    async def counted(self, fleet: Fleet, name: str) -> int:
         counted = await fleet.counted_by_backend()
-        cancelled = sum(one["counts"].get("cancelled", 0) for one in counted.values())
-        self.assertEqual(6, cancelled)
-        self.assertEqual(0, sum(one["counts"].get("ran", 0) for one in counted.values()))
+        return sum(one["counts"].get(name, 0) for one in counted.values())
+
+    async def until_counted(self, fleet: Fleet, name: str, wanted: int) -> None:
+        async with asyncio.timeout(10):
+            while await self.counted(fleet, name) < wanted:  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
 
     async def check_stop(self, fleet: Fleet) -> None:
         """Callers that keep their connections are told to move before the listener closes."""
@@ -44,7 +50,8 @@
                 await response.read()
                 self.assertIsNone(response.headers.get("connection"))
             fleet.signal("entry-0", signal.SIGTERM)
-            await asyncio.sleep(0.1)
+            while (await fleet.operator(0, "/ready"))[0] == 200:  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
             async with one.get(fleet.url(0) + "/prices") as response:
                 await response.read()
                 self.assertEqual("close", response.headers.get("connection"))
