--- a/bench/capacity/configuration.py
+++ b/bench/capacity/configuration.py
@@ -14,6 +14,9 @@
 from bench.capacity.slopes import Results, repeated
 from sycamorebay.coordination.configuration import Configuration, Revision
 from sycamorebay.coordination.dispatch import Dispatcher
+from sycamorebay.protocol import frames
+from sycamorebay.protocol.documents import pack
+from sycamorebay.protocol.generated.peers.ttypes import Body, DocumentReply, Envelope
 from sycamorebay.protocol.revisions import (
     MAX_TRAIL_ENTRIES,
     AuditEntry,
@@ -42,6 +45,8 @@
     results.add_slope("configuration.value", "B", "instance", INSTANCES, values)
     services = [[_value_bytes(FIXED_INSTANCES, int(n)) for n in SERVICES]]
     results.add_slope("configuration.value_services", "B", "service", SERVICES, services)
+    fetches = [[_fetch_bytes(int(n)) for n in INSTANCES]]
+    results.add_slope("configuration.fetch", "B", PER_INSTANCE, INSTANCES, fetches)
     trail = [[_trail_bytes(int(n)) for n in TRAIL_ENTRIES]]
     results.add_slope("configuration.trail", "B", "change kept", TRAIL_ENTRIES, trail)
     for name, work in (("decode", _decode_s), ("check", _check_s), ("swap", _swap_s)):
@@ -63,6 +68,13 @@
     return float(len(_value(instances, services)))
 
 
+def _fetch_bytes(instances: int) -> float:
+    """Return bytes of the message in which a peer hands on its document."""
+    packed = pack(document_text(instances, services_of(instances)))
+    body = Body(document_reply=DocumentReply(1_000_000, packed, True))
+    return float(len(frames.encode(Envelope(-1, body))))
+
+
 def _trail_bytes(entries: int) -> float:
     entry = AuditEntry(
         revision=1_000_000,
--- a/bench/capacity/entries.py
+++ b/bench/capacity/entries.py
@@ -23,6 +23,13 @@
 SERVERS = 8
 SLOTS = 500
 ENVIRONMENT = "production"
+WRITES = (
+    "/v3/kv/put",
+    "/v3/kv/txn",
+    "/v3/lease/grant",
+    "/v3/lease/keepalive",
+    "/v3/lease/revoke",
+)
 
 
 @attrs.frozen
@@ -134,6 +141,11 @@
     return float(sum(counted["calls"].values()))
 
 
+def platform_writes(counted: dict[str, Any]) -> float:
+    """Return calls that write."""
+    return float(sum(counted["calls"].get(kind, 0) for kind in WRITES))
+
+
 async def change(fleet: Fleet, text: bytes) -> int:
     """Make a change as the operators' command line does; return its revision."""
     wanted = admin.Change(text, "apply", "operator", "one more instance for the evening")
--- a/bench/capacity/platform.py
+++ b/bench/capacity/platform.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from bench.capacity.entries import fleet_of, platform_calls, platform_total
+from bench.capacity.entries import fleet_of, platform_calls, platform_total, platform_writes
 from bench.capacity.slopes import Results
 from bench.fleet import Fleet
 
@@ -24,21 +24,27 @@
 
     Attributes
     ----------
-    start : float
-        All calls until every entry was ready.
+    start_reads, start_writes : float
+        Calls until every entry was ready.
     start_peak, outage_end_peak : float
         Calls in the busiest second of a start and after an outage.
+    outage_end_write_share : float
+        Share of writes in all calls after an outage.
     """
 
-    start: float
+    start_reads: float
+    start_writes: float
     start_peak: float
     outage_end_peak: float
+    outage_end_write_share: float
 
 
 _UNITS = {
-    "start": "calls",
+    "start_reads": "calls",
+    "start_writes": "calls",
     "start_peak": "calls/s",
     "outage_end_peak": "calls/s",
+    "outage_end_write_share": "share",
 }
 
 
@@ -57,19 +63,23 @@
 async def _calls(entries: int) -> Calls:
     async with fleet_of(entries, backend_processes=1, lease_s=LEASE_S) as fleet:
         at_start = await platform_calls(fleet)
-        peak = await _outage_end_peak(fleet)
-        return Calls(platform_total(at_start), _peak(at_start, 0), peak)
+        writes = platform_writes(at_start)
+        reads = platform_total(at_start) - writes
+        return Calls(reads, writes, _peak(at_start, 0), *await _outage_end(fleet))
 
 
-async def _outage_end_peak(fleet: Fleet) -> float:
-    """Return the most calls in a second after an outage longer than the leases."""
+async def _outage_end(fleet: Fleet) -> tuple[float, float]:
+    """Return most calls in a second, and the share of writes, after one longer than the leases."""
     await fleet.control_platform(down=True)
     await asyncio.sleep(OUTAGE_S)
     before = await platform_calls(fleet)
     await fleet.control_platform(down=False)
     await asyncio.sleep(RECOVERY_S)
     last = max(int(second) for second in before["calls_by_second"])
-    return _peak(await platform_calls(fleet), last)
+    after = await platform_calls(fleet)
+    writes = platform_writes(after) - platform_writes(before)
+    share = writes / (platform_total(after) - platform_total(before))
+    return _peak(after, last), share
 
 
 def _peak(counted: dict[str, Any], since: int) -> float:
--- a/bench/capacity/rows_control.py
+++ b/bench/capacity/rows_control.py
@@ -293,6 +293,16 @@
             DESIGN.control_bytes_per_s,
             "watch a small key with number and digest; fetch the newest, once in some seconds",
         ),
+        Row(
+            CONFIGURATION,
+            "messages",
+            "bytes of one document fetched from a peer, by an entry that is behind or starts",
+            results.slope("configuration.fetch").cost_at(DESIGN.instances),
+            "B",
+            MEASURED,
+            "`configuration.fetch` at 630 instances in 82 services",
+            "transport.heartbeats",
+        ),
         Row(
             CONFIGURATION,
             "processor",
