Be ready only once callers can connect

Cause: the operators' listener may open before the callers' one, and readiness asked only for the configuration. Twice a test's caller met a closed port right after readiness on a busy machine; a platform's balancer would too. The test fails without the change.

--- a/src/sycamorebay/transport/daemon.py
+++ b/src/sycamorebay/transport/daemon.py
@@ -48,6 +48,7 @@
         self._control = Control(settings, self._dispatcher, self._metrics)
         self._keyed_objection: Callable[[], str] = lambda: ""
         self._stopping = asyncio.Event()
+        self._callers: uvicorn.Server | None = None
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then stop gracefully."""
@@ -90,6 +91,7 @@
         """Listen to callers and operators until told to stop; callers' listener ends first."""
         settings = self._settings
         callers = caller_server(forwarder, settings.callers, settings.limits, settings.stop.limit_s)
+        self._callers = callers
         operators = server(
             operator_app(self._control.secrets, self._metrics, self._status),
             settings.operators,
@@ -112,9 +114,15 @@
         members = [membership.own, *membership.peers()]
         return [Entry(member.id, member.failure_domain) for member in members]
 
+    def _listener_objection(self) -> str:
+        listening = self._callers is not None and self._callers.started
+        return "" if listening else "the callers' listener is not open"
+
     def _status(self) -> Status:
         configuration = self._control.configuration
-        objection = self._control.objection() or self._keyed_objection()
+        objection = (
+            self._control.objection() or self._keyed_objection() or self._listener_objection()
+        )
         for name, count in self._dispatcher.invariants.violations_by_name.items():
             self._metrics.violations.labels(name).set(count)
         return Status(
--- /dev/null
+++ b/tests/test_readiness.py
@@ -0,0 +1,28 @@
+from __future__ import annotations
+
+import testtools
+
+from sycamorebay.settings import Listen, PeerSettings, PlatformSettings, Settings
+from sycamorebay.transport.daemon import Daemon
+from tests.support import asynchronous
+
+NOWHERE = Listen("127.0.0.1", 1)
+
+
+class Listener:
+    started = False
+
+
+class ReadinessTest(testtools.TestCase):
+    @asynchronous
+    async def test_is_not_ready_before_callers_can_connect(self):
+        platform = PlatformSettings("http://127.0.0.1:1")
+        daemon = Daemon(
+            Settings("entry-0", "a", NOWHERE, NOWHERE, PeerSettings("127.0.0.1", 1), platform)
+        )
+        daemon._control.objection = lambda: ""
+        self.assertFalse(daemon._status().ready)
+        daemon._callers = Listener()
+        self.assertIn("listener", daemon._status().objection)
+        daemon._callers.started = True
+        self.assertTrue(daemon._status().ready)
