Lose no hedge, and answer every request that waits in its time

Cause: the timer that ends a request's wait also counted as the one for its hedge. When a request was sent shortly before its wait ended, the timer called for a hedge before the request's task had run; the race had not begun, so the hedge was dropped, while the decisions counted it as in flight. Once the first attempt failed, the request waited for that hedge for ever. Ruled out: the deadline's timer on the connection (it ended the attempt: the backend server counted it as cancelled); the queue (every waiting request has its own timer). Change: a hedge has a time of its own; a hedge that comes early starts with the first attempt; and a request whose decision does not come in its time is refused, counted as a broken invariant. The tests of the first two fail without the change. The frozen server's test sends until a hedge is seen, up to 200 requests, since whether 20 meet that server is chance.

--- a/src/sycamorebay/coordination/attempts.py
+++ b/src/sycamorebay/coordination/attempts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from math import inf
+
 import attrs
 
 from sycamorebay.coordination.messages import Request
@@ -30,6 +32,8 @@
         Whether its final answer is decided.
     may_have_run : bool
         Whether an attempt that is over may have run.
+    hedge_at : float
+        When to send a hedge, in seconds.
     """
 
     request: Request
@@ -40,6 +44,7 @@
     in_flight: dict[int, Attempt] = attrs.field(factory=dict)
     answered: bool = False
     may_have_run: bool = False
+    hedge_at: float = inf
 
     @property
     def is_long(self) -> bool:
--- a/src/sycamorebay/coordination/dispatch.py
+++ b/src/sycamorebay/coordination/dispatch.py
@@ -257,7 +257,7 @@
             if pending is None:
                 continue
             if pending.in_flight:
-                actions += self._hedge(now, pending)
+                actions += self._hedge(now, pending) if pending.hedge_at <= now else []
             elif pending.work.queue.remove(request_id):
                 actions.append(self._give_up(pending, self._overload(pending)))
         for state in self.services:
@@ -368,6 +368,7 @@
         elif pending.is_hedgeable:
             hedge_at = now + pending.service.outliers.times.hedge_after_s()
             if hedge_at < pending.deadline:
+                pending.hedge_at = hedge_at
                 heapq.heappush(self._timers, (hedge_at, pending.request.id))
         return Send(pending.request.id, attempt.id, backend.server, pending.deadline, hedge)
 
--- a/src/sycamorebay/transport/forward.py
+++ b/src/sycamorebay/transport/forward.py
@@ -50,6 +50,7 @@
 )
 
 MAX_REPLAYABLE_BYTES = 65_536
+WAIT_GRACE_S = 0.5
 
 _log = log.part("forward")
 
@@ -302,7 +303,7 @@
         while True:
             action = self._own(exchange, actions)
             if isinstance(action, Enqueue):
-                action = await self._wait(exchange)
+                action = await self._wait(exchange, action.until)
             if isinstance(action, Refuse):
                 return self._refused(exchange, action.refusal)
             if not isinstance(action, Send):
@@ -413,13 +414,24 @@
             self._carry_out(actions[1:])
         return own
 
-    async def _wait(self, exchange: Exchange) -> Action:
+    async def _wait(self, exchange: Exchange, until: float) -> Action:
         exchange.mailbox = asyncio.get_running_loop().create_future()
         try:
-            return await exchange.mailbox
+            async with asyncio.timeout(until - self._clock() + WAIT_GRACE_S):
+                return await exchange.mailbox
+        except TimeoutError:
+            return self._overdue(exchange)
         finally:
             exchange.mailbox = None
 
+    def _overdue(self, exchange: Exchange) -> Refuse:
+        """Give up a request for which no decision came in its time."""
+        self._dispatcher.invariants.check(False, "decided in time")
+        self._give_up(exchange)
+        outcome = Unknown if exchange.sent else NotRun
+        reason = "no decision came before the deadline"
+        return Refuse(exchange.request.id, outcome("wait", "", reason, 504))
+
     def _carry_out(self, actions: list[Action]) -> None:
         for action in actions:
             exchange = self._by_request.get(action.request_id)
--- a/src/sycamorebay/transport/hedging.py
+++ b/src/sycamorebay/transport/hedging.py
@@ -35,20 +35,22 @@
         self._carry_out = carry_out
         self._discard = discard
         self._scope: asyncio.Timeout | None = None
+        self._early: Send | None = None
         self._hedge: asyncio.Task[tuple[T | None, list[Action]]] | None = None
 
-    def on_send(self, send: Send) -> bool:
-        """Start a hedge; False where no attempt is in flight."""
+    def on_send(self, send: Send) -> None:
+        """Start a hedge, or keep it until the first attempt starts."""
         if self._scope is None:
-            return False
-        self._hedge = asyncio.create_task(self._run_hedge(send))
-        return True
+            self._early = send
+        else:
+            self._hedge = asyncio.create_task(self._run_hedge(send))
 
     async def run(self, send: Send) -> tuple[T | None, list[Action]]:
         """Make an attempt, and return the outcome of whichever attempt decides the request."""
         with self._hedge_ended():
             try:
                 async with asyncio.timeout(None) as self._scope:
+                    self._start_early()
                     answer, actions = await self._attempt(send)
             except TimeoutError:
                 if self._hedge is None:
@@ -62,6 +64,11 @@
             self._carry_out(actions[1:])
             return await self._hedge_outcome()
 
+    def _start_early(self) -> None:
+        early, self._early = self._early, None
+        if early is not None:
+            self.on_send(early)
+
     async def _hedge_outcome(self) -> tuple[T | None, list[Action]]:
         assert self._hedge is not None
         outcome = await self._hedge
--- a/tests/test_hedge.py
+++ b/tests/test_hedge.py
@@ -100,6 +100,21 @@
         (refuse,) = made.on_failure(LATE + 0.6, second.attempt_id, lost)
         self.assertEqual((Refuse, "unknown"), (type(refuse), refuse.refusal.tag))
 
+    def test_the_end_of_its_wait_hedges_no_request_that_was_sent(self):
+        sends = []
+        while True:
+            (action,) = self.made.on_request(LATE, price(3000 + len(sends)))
+            if isinstance(action, Enqueue):
+                break
+            sends.append(action)
+        sent_at = action.until - 0.001
+        sent = []
+        for one in sends:
+            self.made.on_answer(sent_at, one.attempt_id, Answer(200))
+            sent += self.made.on_end(sent_at, one.attempt_id)
+        self.assertEqual([action.request_id], [one.request_id for one in sent])
+        self.assertEqual([], self.made.on_timer(action.until))
+
     def test_only_idempotent_short_replayable_requests_are_hedged(self):
         for request in (
             Request(1000, "desk.test", "POST", "/bids"),
@@ -164,6 +179,18 @@
 
 
 class RaceTest(testtools.TestCase):
+    @asynchronous
+    async def test_a_hedge_that_comes_before_the_first_attempt_starts_is_not_lost(self):
+        fake = FakeAttempts()
+        fake.race.on_send(send(2))
+        task = asyncio.create_task(fake.race.run(send(1)))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        fake.by_id[1].set_result((None, [Enqueue(1, 9.0)]))
+        await asyncio.sleep(0)
+        fake.by_id[2].set_result(("hedge", [Deliver(1, 2)]))
+        self.assertEqual("hedge", (await task)[0])
+
     @asynchronous
     async def test_the_hedge_wins_and_the_first_attempt_is_interrupted(self):
         fake = FakeAttempts()
@@ -246,11 +273,18 @@
                 async with fleet.http.get(url, headers=headers) as response:
                     await response.read()
             await fleet.control_backend("desk-0", frozen=True)
-            for _ in range(20):
+            hedges = 0.0
+            for number in range(200):
                 async with fleet.http.get(url, headers=headers) as response:
                     body = await response.json()
                 self.assertEqual(200, response.status)
                 self.assertNotEqual("desk-0", body["server"])
-            _, text = await fleet.operator(0, "/metrics")
-            (line,) = [one for one in text.splitlines() if one.startswith("sycamorebay_hedges_t")]
-            self.assertGreaterEqual(float(line.split()[1]), 1.0)
+                hedges = await self.hedges(fleet)
+                if hedges and number >= 20:
+                    break
+            self.assertGreaterEqual(hedges, 1.0)
+
+    async def hedges(self, fleet: Fleet) -> float:
+        _, text = await fleet.operator(0, "/metrics")
+        (line,) = [one for one in text.splitlines() if one.startswith("sycamorebay_hedges_t")]
+        return float(line.split()[1])
