--- a/tests/test_forward_endings.py
+++ b/tests/test_forward_endings.py
@@ -6,8 +6,9 @@
 
 import testtools
 
+from sycamorebay.coordination.messages import Enqueue
 from sycamorebay.transport.forward import ForwardedBody
-from tests.one_entry import Exchange, OneEntry, answer, eventually, on_uvloop, one_entry
+from tests.one_entry import Exchange, OneEntry, answer, answer_ok, eventually, on_uvloop, one_entry
 
 HEAD = b"HTTP/1.1 200 OK\r\ncontent-length: 1000000\r\n\r\n"
 REQUEST = b"GET /prices/1 HTTP/1.1\r\nhost: desk.test\r\n\r\n"
@@ -242,3 +243,17 @@
         self.assertIsNone(await anext(chunks, None))
         body.close()
         self.assertEqual((1, [1]), (two.released, ends))
+
+
+class OverdueTest(testtools.TestCase):
+    @on_uvloop
+    async def test_a_request_without_a_decision_is_refused_in_its_time(self):
+        async with one_entry(answer_ok) as entry:
+            entry.dispatcher.invariants.strict = False
+            entry.dispatcher._admit = lambda now, pending: Enqueue(pending.request.id, now)
+            answer = await entry.get("/prices/7")
+            self.assertIn(b" 504 ", answer.split(b"\r\n")[0])
+            self.assertIn(b'"not-run"', answer)
+            violations = entry.dispatcher.invariants.violations_by_name
+            self.assertEqual({"decided in time": 1}, dict(violations))
+            self.assertTrue(entry.dispatcher.is_idle())
