--- a/src/sycamorebay/transport/control.py
+++ b/src/sycamorebay/transport/control.py
@@ -17,7 +17,7 @@
 from sycamorebay.transport.following import StoreFollower
 from sycamorebay.transport.heartbeats import Heartbeats
 from sycamorebay.transport.in_force import RevisionInForce
-from sycamorebay.transport.news import NewsDesk, VmWatch
+from sycamorebay.transport.news import NewsExchange, VmWatch
 from sycamorebay.transport.pauses import PauseWatch
 from sycamorebay.transport.peer_messages import PeerMessages
 from sycamorebay.transport.peers import PeerNetwork
@@ -51,7 +51,7 @@
         self.secrets = SecretFile(settings)
         self.messages = PeerMessages()
         self.network = PeerNetwork(settings.peers, self.secrets, self.messages, metrics)
-        self.news = NewsDesk(dispatcher)
+        self.news = NewsExchange(dispatcher)
         self.heartbeats = Heartbeats(
             settings, self.network, self.membership, self.in_force, self.news, metrics
         )
--- a/src/sycamorebay/transport/daemon.py
+++ b/src/sycamorebay/transport/daemon.py
@@ -70,7 +70,7 @@
             ]
             await stack.enter_async_context(running(background))
             await self._serve(forwarder)
-            await forwarder.operator.drain()
+            await forwarder.operations.drain()
         _log.info("stopped")
 
     def _open_operations(self) -> contextlib.AbstractAsyncContextManager[KeyedOperations]:
--- a/src/sycamorebay/transport/forward.py
+++ b/src/sycamorebay/transport/forward.py
@@ -39,7 +39,7 @@
 from sycamorebay.state.operations import KeptAnswer
 from sycamorebay.transport.hedging import Race
 from sycamorebay.transport.inquire import Inquirer
-from sycamorebay.transport.operate import Forwarding, Operator, StartedBody
+from sycamorebay.transport.operate import Forwarding, OperationRunner, StartedBody
 from sycamorebay.transport.upstream import (
     AttemptError,
     BackendAnswer,
@@ -223,7 +223,7 @@
         forwarding = Forwarding(
             self._run_owned, self._refused, self._replayed, dispatcher.failure_domains
         )
-        self.operator = Operator(operations, inquirer, forwarding)
+        self.operations = OperationRunner(operations, inquirer, forwarding)
         self._upstream = upstream
         self._metrics = metrics
         self._clock = clock
@@ -248,7 +248,7 @@
             await _read_body(exchange)
         except CallerBodyError as error:
             return self._refused(exchange, NotRun("read", "caller", str(error), 408))
-        return await self.operator.operate(exchange, key)
+        return await self.operations.operate(exchange, key)
 
     async def _run_owned(self, exchange: Exchange) -> OutgoingAnswer:
         """Run a request; cancelling this gives it up."""
--- a/src/sycamorebay/transport/heartbeats.py
+++ b/src/sycamorebay/transport/heartbeats.py
@@ -22,7 +22,7 @@
 from sycamorebay.settings import Settings
 from sycamorebay.transport.clock import boottime
 from sycamorebay.transport.in_force import RevisionInForce
-from sycamorebay.transport.news import NewsDesk
+from sycamorebay.transport.news import NewsExchange
 from sycamorebay.transport.peers import PeerNetwork
 
 ANSWER_LIMIT_S = 2.0
@@ -45,7 +45,7 @@
         Who the peers are.
     in_force : RevisionInForce
         The revision in force, and whether it is fresh.
-    news : NewsDesk
+    news : NewsExchange
         News of backend servers.
     metrics : Metrics
         Shows how many peers were heard lately.
@@ -57,7 +57,7 @@
         network: PeerNetwork,
         membership: Membership,
         in_force: RevisionInForce,
-        news: NewsDesk,
+        news: NewsExchange,
         metrics: Metrics,
     ) -> None:
         self._settings = settings
--- a/src/sycamorebay/transport/news.py
+++ b/src/sycamorebay/transport/news.py
@@ -20,7 +20,7 @@
 _log = log.part("news")
 
 
-class NewsDesk:
+class NewsExchange:
     """Joins the dispatcher's own signs of leaving servers with those of peers.
 
     Parameters
--- a/src/sycamorebay/transport/operate.py
+++ b/src/sycamorebay/transport/operate.py
@@ -60,7 +60,7 @@
     failure_domains: Callable[[str], tuple[str, ...]]
 
 
-class Operator:
+class OperationRunner:
     """Drives the decisions on keyed operations.
 
     Parameters
--- a/src/sycamorebay/transport/operators.py
+++ b/src/sycamorebay/transport/operators.py
@@ -44,7 +44,7 @@
 
 
 class _SecretCheck:
-    """Middleware that closes all but liveness to strangers."""
+    """Middleware that asks for a shared secret on all but liveness."""
 
     def __init__(self, secrets: Sequence[bytes]) -> None:
         self._secrets = secrets
--- a/src/sycamorebay/transport/peers.py
+++ b/src/sycamorebay/transport/peers.py
@@ -150,7 +150,7 @@
         if hmac.compare_digest(expected, reply[frames.NONCE_BYTES :]):
             writer.write(frames.proof(secret, b"listen", nonce, dialer_nonce))
             return frames.proof(secret, b"session", nonce, dialer_nonce)
-    raise PeerError("a stranger", step="authenticate")
+    raise PeerError("the secret does not match", step="authenticate")
 
 
 async def _dial_handshake(
@@ -161,7 +161,7 @@
     writer.write(own + frames.proof(secret, b"dial", nonce, own))
     reply = await reader.readexactly(frames.MAC_BYTES)
     if not hmac.compare_digest(reply, frames.proof(secret, b"listen", nonce, own)):
-        raise PeerError("a stranger", step="authenticate")
+        raise PeerError("the secret does not match", step="authenticate")
     return frames.proof(secret, b"session", nonce, own)
 
 
