Remove what nothing calls, and make the limit's interface whole

end_to_end and FORMAT had no caller left. Limit lacked what its users call, so that nobody could have put another in its place; ServiceState names it now. The time of a hedge is asked where the other conditions of a hedge are. Behaviour is unchanged.

--- a/src/sycamorebay/coordination/dispatch.py
+++ b/src/sycamorebay/coordination/dispatch.py
@@ -257,7 +257,7 @@
             if pending is None:
                 continue
             if pending.in_flight:
-                actions += self._hedge(now, pending) if pending.hedge_at <= now else []
+                actions += self._hedge(now, pending)
             elif pending.work.queue.remove(request_id):
                 actions.append(self._give_up(pending, self._overload(pending)))
         for state in self.services:
@@ -375,7 +375,7 @@
     def _hedge(self, now: float, pending: Pending) -> list[Action]:
         """Send a second attempt beside the first where that is likely to help."""
         service = pending.service
-        if len(pending.in_flight) != 1 or not pending.is_hedgeable:
+        if now < pending.hedge_at or len(pending.in_flight) != 1 or not pending.is_hedgeable:
             return []
         if service.limit.is_crowded or not service.limit.has_room(service.short.in_flight):
             return []
--- a/src/sycamorebay/coordination/limit.py
+++ b/src/sycamorebay/coordination/limit.py
@@ -14,6 +14,15 @@
 class Limit(Protocol):
     """Bounds the requests in flight."""
 
+    @property
+    def is_crowded(self) -> bool:
+        """Whether backend servers have more work than slots lately."""
+        ...
+
+    def resize(self, slots: int, entries: int) -> None:
+        """Take other numbers of slots and of the entries that share them."""
+        ...
+
     def has_room(self, in_flight: int) -> bool:
         """Whether one more may be sent."""
         ...
--- a/src/sycamorebay/coordination/service.py
+++ b/src/sycamorebay/coordination/service.py
@@ -9,7 +9,7 @@
 
 from sycamorebay.coordination.admit import AdmissionQueue
 from sycamorebay.coordination.assignment import Entries, assigned_slots, long_slots
-from sycamorebay.coordination.limit import AdaptiveLimit
+from sycamorebay.coordination.limit import AdaptiveLimit, Limit
 from sycamorebay.coordination.outliers import OutlierJudge
 from sycamorebay.coordination.retry import RetryBudget
 from sycamorebay.state.backends import BackendState, BackendTable
@@ -48,7 +48,7 @@
         self.backends: list[BackendState] = []
         self.retries = RetryBudget(service.limits.retry_ratio)
         self.hedges = RetryBudget(service.limits.hedge_ratio)
-        self.limit = AdaptiveLimit(self._slots(service))
+        self.limit: Limit = AdaptiveLimit(self._slots(service))
         self.short = WorkState()
         self.long = WorkState()
         self.own_long_slots: Counter[str] = Counter()
--- a/src/sycamorebay/protocol/headers.py
+++ b/src/sycamorebay/protocol/headers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 from sycamorebay.state.backends import LoadReport
 
@@ -45,13 +45,6 @@
 Headers = list[tuple[str, str]]
 
 
-def end_to_end(headers: Iterable[tuple[str, str]]) -> Headers:
-    """Return the headers that travel past this hop (RFC 9110, section 7.6.1)."""
-    kept = [(name.lower(), value) for name, value in headers]
-    dropped = _dropped(kept)
-    return [(name, value) for name, value in kept if name not in dropped]
-
-
 def request_headers(headers: Headers, caller: str, request_id: str) -> Headers:
     """Return what a backend server gets of a caller's headers, whose names are in lower case.
 
--- a/src/sycamorebay/state/document.py
+++ b/src/sycamorebay/state/document.py
@@ -13,7 +13,6 @@
 from sycamorebay.errors import DocumentError
 from sycamorebay.state.faults import Fault, fault_at, schema_faults
 
-FORMAT = 1
 MAX_DOCUMENT_BYTES = 1_000_000
 
 
