--- /dev/null
+++ b/src/sycamorebay/coordination/placing.py
@@ -0,0 +1,322 @@
+"""Queueing, refusing and placing of requests on one daemon.
+
+Answers loads that come near what a service can take, or pass it, while parts of it are slowed by
+their neighbours for fractions of a second. Daemons tell each other within milliseconds what they
+have placed, so each sees nearly the whole load: a request goes to the free server where it is
+expected to end first; where none is free it waits, the most urgent first, as long as it can still
+be answered within its goal, and is refused at once when that is no longer so.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from random import Random
+
+import attrs
+
+from sycamorebay.coordination.server_load import MeanPace, Report, ServerLoad
+from sycamorebay.state.server_entries import ServerEntry
+
+# Work of a route of which nothing is known yet.
+DEFAULT_WORK_S = 0.1
+_WORK_SMOOTHING = 0.05
+# Shortest and longest time after which a refused caller is asked back.
+MIN_RETRY_AFTER_S = 0.05
+MAX_RETRY_AFTER_S = 2.0
+# Costs are expected seconds; these are added to them.
+NEW_CONNECTION_S = 0.004
+FAR_S = 0.003
+# Daemons that decide at the same moment shouldn't meet at the same server.
+_SCATTER = 0.15
+_FAILURE_COST_S = 1.0
+# Part of the goal in which a request may wait, so that its work still fits.
+_WORK_MARGIN = 1.0
+_START_SMOOTHING = 0.2
+
+
+@attrs.define(eq=False)
+class Waiting:
+    """A request on its way to a place.
+
+    Attributes
+    ----------
+    id : int
+        Unique on this daemon.
+    service : str
+        Where it goes.
+    route : str
+        Route's name, by which the length of its work is learnt.
+    priority : int
+        0 is the most urgent.
+    goal_at, deadline : float
+        When its answer stops being worth most, and anything; in seconds.
+    tried : set of str
+        Servers that had it already.
+    """
+
+    id: int
+    service: str
+    route: str
+    priority: int
+    goal_at: float
+    deadline: float
+    tried: set[str] = attrs.field(factory=set)
+
+
+@attrs.frozen
+class Place:
+    """Send the request to a server; its slot is taken until `Placer.on_end`."""
+
+    request_id: int
+    server: ServerEntry
+
+
+@attrs.frozen
+class Wait:
+    """Wait for a `Place` or `Turn away` of `Placer.on_tick`."""
+
+    request_id: int
+
+
+@attrs.frozen
+class TurnAway:
+    """Refuse the request, and say when to come back, in seconds."""
+
+    request_id: int
+    reason: str
+    retry_after_s: float
+
+
+Decision = Place | Wait | TurnAway
+
+
+class WorkTimes:
+    """How long the work of each route takes at the usual pace, in seconds."""
+
+    def __init__(self) -> None:
+        self._by_route: dict[str, float] = {}
+
+    def on_answer(self, route: str, seconds: float, pace: float) -> None:
+        """Take an answer's time and the pace of its server."""
+        usual = seconds / max(1.0, pace)
+        known = self._by_route.get(route, usual)
+        self._by_route[route] = known + _WORK_SMOOTHING * (usual - known)
+
+    def get(self, route: str) -> float:
+        """Return the expected time, in seconds."""
+        return self._by_route.get(route, DEFAULT_WORK_S)
+
+
+class _Pool:
+    """The servers of one service and what waits for them."""
+
+    def __init__(self) -> None:
+        self.mean_pace = MeanPace()
+        self.loads_by_id: dict[str, ServerLoad] = {}
+        self.queue: list[Waiting] = []
+        self.queued_by_peer: dict[str, int] = {}
+        self.start_gap_s = 0.0
+        self.started_at = 0.0
+
+    def on_start(self, now: float) -> None:
+        """Learn how often a waiting request gets a place."""
+        gap = min(1.0, now - self.started_at)
+        self.started_at = now
+        self.start_gap_s += _START_SMOOTHING * (gap - self.start_gap_s)
+
+
+class Placer:
+    """Decides for each request of one daemon where it goes, or that it goes nowhere.
+
+    Parameters
+    ----------
+    failure_domain : str
+        Where this daemon runs.
+    rng : random.Random
+        Seeded random source.
+    connected : callable
+        Whether a connection to a server, named by its id, is open and idle.
+    """
+
+    def __init__(
+        self,
+        failure_domain: str,
+        rng: Random,
+        connected: Callable[[str], bool] = lambda _: True,
+    ) -> None:
+        self._failure_domain = failure_domain
+        self._rng = rng
+        self._connected = connected
+        self._pools_by_service: dict[str, _Pool] = {}
+        self._pool_by_server: dict[str, _Pool] = {}
+        self.work = WorkTimes()
+
+    # Servers
+
+    def on_servers(self, now: float, entries: Iterable[ServerEntry]) -> None:
+        """Take the list of backend servers."""
+        by_id = {entry.id: entry for entry in entries}
+        for server_id in [key for key in self._pool_by_server if key not in by_id]:
+            del self._pool_by_server.pop(server_id).loads_by_id[server_id]
+        for entry in by_id.values():
+            self._put(now, entry)
+
+    def _put(self, now: float, entry: ServerEntry) -> None:
+        pool = self._pool_by_server.get(entry.id)
+        load = pool.loads_by_id[entry.id] if pool is not None else None
+        if load is None or not _same_start(load.entry, entry):
+            if pool is not None:
+                del pool.loads_by_id[entry.id]
+            pool = self._pool(entry.service)
+            load = ServerLoad(entry, pool.mean_pace, warm_at=now + entry.warm_up_s)
+            pool.loads_by_id[entry.id] = load
+            self._pool_by_server[entry.id] = pool
+        load.entry = entry
+
+    def load(self, server_id: str) -> ServerLoad | None:
+        """Return what is known of a server, or None."""
+        pool = self._pool_by_server.get(server_id)
+        return None if pool is None else pool.loads_by_id[server_id]
+
+    def loads(self) -> Iterable[ServerLoad]:
+        """Return what is known of all servers."""
+        return [load for pool in self._pools_by_service.values() for load in pool.loads_by_id.values()]
+
+    def on_report(self, at: float, server_id: str, report: Report) -> None:
+        """Take a server's word on its load, made at a time."""
+        load = self.load(server_id)
+        if load is not None:
+            load.on_report(at, report)
+
+    def on_peer_load(self, peer: str, server_id: str, in_flight: int) -> None:
+        """Take what a peer has in flight at a server."""
+        load = self.load(server_id)
+        if load is None:
+            return
+        if in_flight:
+            load.own_by_peer[peer] = in_flight
+        else:
+            load.own_by_peer.pop(peer, None)
+
+    def on_peer_gone(self, peer: str) -> None:
+        """Forget what a peer had in flight."""
+        for load in self.loads():
+            load.own_by_peer.pop(peer, None)
+
+    # Requests
+
+    def on_request(self, now: float, waiting: Waiting) -> Decision:
+        """Place a request, have it wait, or turn it away."""
+        pool = self._pool(waiting.service)
+        if not any(load.usable(now) for load in pool.loads_by_id.values()):
+            return self._turn_away(pool, waiting, "no backend server of the service is usable")
+        if not any(other.priority <= waiting.priority for other in pool.queue):
+            chosen = self._choose(now, pool, waiting)
+            if chosen is not None:
+                return self._place(now, pool, waiting, chosen)
+        ahead = sum(1 for other in pool.queue if other.priority <= waiting.priority)
+        if now + ahead * pool.start_gap_s > self._start_by(waiting):
+            return self._turn_away(pool, waiting, "too many requests wait already")
+        pool.queue.append(waiting)
+        pool.queue.sort(key=lambda other: (other.priority, other.id))
+        return Wait(waiting.id)
+
+    def on_end(self, now: float, server_id: str) -> list[Decision]:
+        """Free a slot; return what goes into it."""
+        load = self.load(server_id)
+        if load is None:
+            return []
+        load.own = max(0, load.own - 1)
+        return self._pump(now, self._pool_by_server[server_id])
+
+    def on_leave(self, request_id: int) -> None:
+        """Take a waiting request out, as its caller has left."""
+        for pool in self._pools_by_service.values():
+            pool.queue = [waiting for waiting in pool.queue if waiting.id != request_id]
+
+    def on_tick(self, now: float) -> list[Decision]:
+        """Place what waits where there is room, and turn away what has waited too long."""
+        decisions: list[Decision] = []
+        for pool in self._pools_by_service.values():
+            decisions += self._pump(now, pool)
+        return decisions
+
+    def queued_by_service(self) -> dict[str, int]:
+        """Return how many requests wait for each service."""
+        return {name: len(pool.queue) for name, pool in self._pools_by_service.items()}
+
+    def is_waiting(self) -> bool:
+        """Whether any request waits."""
+        return any(pool.queue for pool in self._pools_by_service.values())
+
+    # Inside
+
+    def _pool(self, service: str) -> _Pool:
+        pool = self._pools_by_service.get(service)
+        if pool is None:
+            pool = self._pools_by_service[service] = _Pool()
+        return pool
+
+    def _pump(self, now: float, pool: _Pool) -> list[Decision]:
+        decisions: list[Decision] = []
+        left: list[Waiting] = []
+        full = False
+        for waiting in pool.queue:
+            chosen = None if full else self._choose(now, pool, waiting)
+            if chosen is not None:
+                pool.on_start(now)
+                decisions.append(self._place(now, pool, waiting, chosen))
+            elif now > self._start_by(waiting):
+                reason = "no backend server became free in time"
+                decisions.append(self._turn_away(pool, waiting, reason))
+            else:
+                full = full or not waiting.tried
+                left.append(waiting)
+        pool.queue = left
+        return decisions
+
+    def _choose(self, now: float, pool: _Pool, waiting: Waiting) -> ServerLoad | None:
+        work_s = self.work.get(waiting.route)
+        best, least = None, float("inf")
+        for load in pool.loads_by_id.values():
+            if not load.usable(now) or load.entry.id in waiting.tried:
+                continue
+            if load.in_flight(now) >= load.comfortable_slots:
+                continue
+            cost = self._cost(now, load, work_s)
+            if cost < least:
+                best, least = load, cost
+        return best
+
+    def _cost(self, now: float, load: ServerLoad, work_s: float) -> float:
+        scatter = 1.0 + _SCATTER * self._rng.random()
+        cost = work_s * load.pace(now) * scatter
+        cost += load.failure_rate * _FAILURE_COST_S
+        if load.entry.failure_domain != self._failure_domain:
+            cost += FAR_S
+        if not self._connected(load.entry.id):
+            cost += NEW_CONNECTION_S
+        return cost
+
+    def _place(self, now: float, pool: _Pool, waiting: Waiting, load: ServerLoad) -> Place:
+        load.own += 1
+        waiting.tried.add(load.entry.id)
+        return Place(waiting.id, load.entry)
+
+    def _start_by(self, waiting: Waiting) -> float:
+        work_s = self.work.get(waiting.route) * _WORK_MARGIN
+        return min(waiting.goal_at, waiting.deadline) - work_s
+
+    def _turn_away(self, pool: _Pool, waiting: Waiting, reason: str) -> TurnAway:
+        backlog_s = len(pool.queue) * pool.start_gap_s
+        spread = self._rng.uniform(0.75, 1.25)
+        after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, backlog_s) * spread)
+        return TurnAway(waiting.id, reason, after_s)
+
+
+def _same_start(known: ServerEntry, entry: ServerEntry) -> bool:
+    return (known.address, known.service, known.started_ms) == (
+        entry.address,
+        entry.service,
+        entry.started_ms,
+    )
--- a/src/sycamorebay/log.py
+++ b/src/sycamorebay/log.py
@@ -4,12 +4,13 @@
 
 import logging
 import sys
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import structlog
 from structlog.typing import EventDict
 
-from sycamorebay.settings import LogSettings
+if TYPE_CHECKING:
+    from sycamorebay.settings import LogSettings
 
 
 def _prefix(_logger: Any, _method: str, event: EventDict) -> EventDict:
@@ -39,6 +40,22 @@
     )
 
 
+def configure_lines(writer: Any) -> None:
+    """Write each log line as JSON to a writer of lines, such as `LineWriter`."""
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            _prefix,
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        logger_factory=lambda *_: writer,
+        cache_logger_on_first_use=True,
+    )
+
+
 def part(name: str) -> Any:
     """Return the logger of one part."""
     return structlog.get_logger(part=name)
--- a/src/sycamorebay/outcomes.py
+++ b/src/sycamorebay/outcomes.py
@@ -31,7 +31,7 @@
     peer: str
     reason: str
     status: int = 503
-    retry_after_s: int = DEFAULT_RETRY_AFTER_S
+    retry_after_s: float = DEFAULT_RETRY_AFTER_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,7 +43,7 @@
     peer: str
     reason: str
     status: int = 502
-    retry_after_s: int = DEFAULT_RETRY_AFTER_S
+    retry_after_s: float = DEFAULT_RETRY_AFTER_S
 
 
 Refusal = NotRun | Unknown
--- /dev/null
+++ b/src/sycamorebay/platform/marks.py
@@ -0,0 +1,64 @@
+"""The platform's headers of requests and answers."""
+
+from __future__ import annotations
+
+from sycamorebay.coordination.server_load import Report
+from sycamorebay.protocol.dialect import AnswerMarks, RawHeaders, RequestMarks
+
+_REQUEST_ID = b"sycamorebay-request-id"
+_DEADLINE = b"sycamorebay-deadline-ms"
+_TARGET = b"sycamorebay-target-instance"
+_NOT_RUN = b"sycamorebay-not-executed"
+_SIGNATURE = b"sycamorebay-server-sig"
+_LOAD = b"sycamorebay-load"
+_SERVER_ID = b"sycamorebay-instance-id"
+_REPLACED = frozenset({_DEADLINE, _TARGET})
+_USUAL_PACE = 100.0
+
+
+class PlatformDialect:
+    """The `Dialect` of the platform."""
+
+    def read_request(self, headers: RawHeaders) -> RequestMarks:
+        """Return what a caller's headers say."""
+        by_name = dict(headers)
+        request_id = by_name.get(_REQUEST_ID, b"").decode("latin-1")
+        return RequestMarks(request_id, _deadline_s(by_name.get(_DEADLINE)))
+
+    def read_answer(self, status: int, headers: RawHeaders) -> AnswerMarks:
+        """Return what a backend server's headers say."""
+        by_name = dict(headers)
+        return AnswerMarks(
+            request_id=by_name.get(_REQUEST_ID, b"").decode("latin-1"),
+            server_id=by_name.get(_SERVER_ID, b"").decode("latin-1"),
+            # A server that isn't the named one never runs the request, and says only 421.
+            not_run=_NOT_RUN in by_name or status == 421,
+            signed=_SIGNATURE in by_name,
+            report=_report(by_name.get(_LOAD)),
+        )
+
+    def mark_request(self, headers: RawHeaders, server_id: str, deadline_s: float) -> RawHeaders:
+        """Return a caller's headers as the named server gets them, with the time left."""
+        kept = [pair for pair in headers if pair[0] not in _REPLACED]
+        kept.append((_DEADLINE, b"%d" % max(1, int(deadline_s * 1000))))
+        kept.append((_TARGET, server_id.encode("latin-1")))
+        return kept
+
+
+def _deadline_s(value: bytes | None) -> float | None:
+    try:
+        return None if value is None else max(0.0, float(value) / 1000)
+    except ValueError:
+        return None
+
+
+def _report(value: bytes | None) -> Report | None:
+    """Return the load that a header tells: running, waiting, slots, and pace in hundredths."""
+    if value is None:
+        return None
+    try:
+        numbers = [float(part) for part in value.split(b",")]
+        pace = numbers[3] / _USUAL_PACE if len(numbers) > 3 else 1.0
+        return Report(int(numbers[0]), int(numbers[1]), max(0.1, pace))
+    except (ValueError, IndexError):
+        return None
--- /dev/null
+++ b/src/sycamorebay/platform/store.py
@@ -0,0 +1,86 @@
+"""The platform's store over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from typing import Any
+from urllib.parse import quote
+
+from sycamorebay.errors import PlatformError
+from sycamorebay.state.stored import Listing, Stored
+from sycamorebay.transport.gateway.client import AnswerError, ConnectError, Pool, request_head
+from sycamorebay.transport.gateway.counters import Counters
+from sycamorebay.transport.gateway.following import ChangesLostError
+
+CALL_TIMEOUT_S = 0.8
+# A watch that stays silent this long after its own end has been lost.
+WATCH_SLACK_S = 0.4
+_MAX_PAGES = 200
+
+
+class PlatformStore:
+    """A `ChangeFeed` over the platform's store.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port``.
+    pool : Pool
+        Connections; nothing is sent again on them.
+    counters : Counters
+        Counts calls.
+    """
+
+    def __init__(self, address: str, pool: Pool, counters: Counters) -> None:
+        self._address = address
+        self._pool = pool
+        self._counters = counters
+
+    async def list_all(self) -> Listing:
+        """Return all items, of the version that the first page tells; later ones may be newer."""
+        items: list[Stored] = []
+        version = -1
+        after = ""
+        for _ in range(_MAX_PAGES):
+            path = f"/kv-range?prefix=&after={quote(after, safe='')}"
+            found = await self._call("list", path, CALL_TIMEOUT_S)
+            page = [_stored(one) for one in found["items"]]
+            items += page
+            version = int(found["as_of"]) if version < 0 else version
+            if not found["has_more"] or not page:
+                return Listing(tuple(items), version)
+            after = page[-1].key
+        raise PlatformError("the listing has no end", step="list", peer=self._address)
+
+    async def changes(self, after: int, wait_s: float) -> tuple[list[Stored], int]:
+        """Return the changes after a version as soon as there are any, or none in time."""
+        path = f"/kv-watch?prefix=&after={after}&wait_ms={int(wait_s * 1000)}"
+        found = await self._call("watch", path, wait_s + WATCH_SLACK_S)
+        return [_stored(one) for one in found["events"]], int(found["as_of"])
+
+    async def _call(self, step: str, path: str, timeout_s: float) -> dict[str, Any]:
+        self._counters.store_calls += 1
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = await self._pool.take(self._address)
+                head = request_head("GET", path, [(b"host", self._address.encode())])
+                answer = await connection.ask(head, b"", lambda _status, _headers: True)
+            self._pool.give_back(self._address, connection)
+            if answer.status == 410:
+                raise ChangesLostError("the history is gone", step=step, peer=self._address)
+            if answer.status != 200:
+                raise self._failed(step, f"status {answer.status}")
+            return json.loads(answer.body)
+        except (TimeoutError, ConnectError, AnswerError, ValueError) as error:
+            raise self._failed(step, str(error) or type(error).__name__) from error
+
+    def _failed(self, step: str, reason: str) -> PlatformError:
+        self._counters.store_failures += 1
+        return PlatformError(reason, step=step, peer=self._address)
+
+
+def _stored(found: dict[str, Any]) -> Stored:
+    value = None if found.get("removed") else base64.b64decode(found["value"])
+    return Stored(str(found["key"]), value, int(found["rev"]))
--- a/src/sycamorebay/protocol/headers.py
+++ b/src/sycamorebay/protocol/headers.py
@@ -5,14 +5,17 @@
 import re
 from collections.abc import Mapping
 
+from sycamorebay.protocol.names import (
+    ATTEMPT,
+    DEADLINE,
+    IDEMPOTENCY_KEY,
+    LEAVING,
+    OUTCOME,
+    REQUEST_ID,
+    Headers,
+)
 from sycamorebay.state.backends import LoadReport
 
-DEADLINE = "sycamorebay-deadline-ms"
-ATTEMPT = "sycamorebay-attempt"
-OUTCOME = "sycamorebay-outcome"
-LEAVING = "sycamorebay-leaving"
-REQUEST_ID = "x-request-id"
-IDEMPOTENCY_KEY = "idempotency-key"
 LOAD = "endpoint-load-metrics"
 FORWARDED_FOR = "x-forwarded-for"
 FORWARDED_HOST = "x-forwarded-host"
@@ -42,8 +45,6 @@
 )
 _REPLACED = frozenset({DEADLINE, ATTEMPT, REQUEST_ID, "content-length", "expect"})
 
-Headers = list[tuple[str, str]]
-
 
 def request_headers(headers: Headers, caller: str, request_id: str) -> Headers:
     """Return what a backend server gets of a caller's headers, whose names are in lower case.
--- a/src/sycamorebay/protocol/problem.py
+++ b/src/sycamorebay/protocol/problem.py
@@ -6,8 +6,8 @@
 import json
 
 from sycamorebay.outcomes import Refusal
-from sycamorebay.protocol import headers as names
-from sycamorebay.protocol.headers import Headers
+from sycamorebay.protocol import names
+from sycamorebay.protocol.names import Headers
 
 MEDIA_TYPE = "application/problem+json"
 
--- a/src/sycamorebay/state/faults.py
+++ b/src/sycamorebay/state/faults.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 import attrs
-from jsonschema import Draft202012Validator
 
 _SHOWN_VALUE_CHARS = 80
 
@@ -42,6 +41,9 @@
 
 def schema_faults(schema: dict[str, Any], data: Any) -> list[Fault]:
     """Return every fault of `data` against a JSON Schema, in path order."""
+    # Costly to import, and daemons that take no document of their own need none of it.
+    from jsonschema import Draft202012Validator
+
     errors = Draft202012Validator(schema).iter_errors(data)
     faults = [
         fault_at("/".join(str(part) for part in error.absolute_path), error.instance, error.message)
--- /dev/null
+++ b/src/sycamorebay/transport/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway daemon: forwards requests by routes, with load shared among all daemons."""
--- /dev/null
+++ b/src/sycamorebay/transport/gateway/exposition.py
@@ -0,0 +1,72 @@
+"""The counters of a gateway as metrics of ``prometheus_client``."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from itertools import accumulate
+from typing import TYPE_CHECKING
+
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+    Metric,
+)
+from prometheus_client.registry import Collector
+
+if TYPE_CHECKING:
+    from sycamorebay.transport.gateway.counters import Counters, Latencies
+
+_COUNTERS = {
+    "requests": "Requests taken.",
+    "sends": "Sends to backend servers.",
+    "budget_empty": "Requests not sent again since the retry budget was used up.",
+    "probes": "Probes of backend servers.",
+    "store_calls": "Calls to the store.",
+    "store_failures": "Calls to the store that failed.",
+    "peer_datagrams": "Datagrams from other daemons.",
+    "undecodable": "Items of the store that could not be read.",
+}
+
+
+class CountersCollector(Collector):
+    """Collects one gateway's counters."""
+
+    def __init__(
+        self,
+        counters: Counters,
+        bounds_s: Sequence[float],
+        log_lines_dropped: int,
+        open_connections: int,
+    ) -> None:
+        self._counters = counters
+        self._bounds_s = bounds_s
+        self._log_lines_dropped = log_lines_dropped
+        self._open_connections = open_connections
+
+    def collect(self) -> Iterable[Metric]:
+        """Return the metrics as they stand."""
+        for name, help_text in _COUNTERS.items():
+            value = getattr(self._counters, name)
+            yield CounterMetricFamily(f"sycamorebay_{name}", help_text, value)
+        yield CounterMetricFamily(
+            "sycamorebay_log_lines_dropped", "Log lines left out.", self._log_lines_dropped
+        )
+        yield GaugeMetricFamily(
+            "sycamorebay_open_connections", "Connections of callers.", self._open_connections
+        )
+        refusals = CounterMetricFamily(
+            "sycamorebay_refusals", "Refused requests.", labels=["outcome", "step"]
+        )
+        for (outcome, step), value in self._counters.refusals_by_step.items():
+            refusals.add_metric([outcome, step], value)
+        yield refusals
+        yield self._histogram("answered", "Time to the answer.", self._counters.answered)
+        yield self._histogram("backend", "Time at backend servers.", self._counters.backend)
+
+    def _histogram(self, name: str, help_text: str, latencies: Latencies) -> HistogramMetricFamily:
+        bounds = [str(bound) for bound in self._bounds_s] + ["+Inf"]
+        buckets = list(zip(bounds, accumulate(latencies.counts), strict=True))
+        return HistogramMetricFamily(
+            f"sycamorebay_{name}_seconds", help_text, buckets, latencies.total
+        )
--- /dev/null
+++ b/src/sycamorebay/transport/gateway/peers.py
@@ -0,0 +1,399 @@
+"""What the daemons tell each other over datagrams: who lives, what is placed, what changed.
+
+A beat goes to every peer at intervals and carries everything again, so a lost datagram costs no
+more than one interval. Between beats, changed loads go out within milliseconds.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import random
+import zlib
+from collections.abc import Callable, Iterable
+from typing import Any, cast
+
+import attrs
+
+from sycamorebay import log
+from sycamorebay.coordination.placing import Placer
+from sycamorebay.coordination.readers import Candidate
+from sycamorebay.coordination.server_load import Report
+from sycamorebay.state.stored import Stored
+from sycamorebay.transport.gateway.counters import Counters
+
+BEAT_S = 0.25
+# A larger fleet beats less often, so that a daemon sends about this many datagrams a second.
+BEATS_PER_S = 100.0
+# Four beats in a row are lost only where something is wrong.
+SILENT_BEATS = 4.5
+# Loads that change within this time go out together.
+GATHER_S = 0.004
+# Up to this many peers every change of load is told at once; more would take too many datagrams.
+MAX_EAGER_PEERS = 40
+MAX_DATAGRAM_BYTES = 48_000
+_COMPRESS_ABOVE_BYTES = 900
+_ADDRESSES_TOLD = 6
+
+_log = log.part("peers")
+
+
+@attrs.define(eq=False)
+class Peer:
+    """Another daemon as it was last heard.
+
+    Attributes
+    ----------
+    name, address, control, failure_domain : str
+        `address` takes datagrams, `control` takes requests for the whole directory.
+    incarnation : int
+        Tells its starts apart.
+    heard_at : float
+        In seconds.
+    version, confirmed_at
+        What it knows of the store, and when a reader confirmed that.
+    reaches_store, ready : bool
+        As it says.
+    """
+
+    name: str
+    address: tuple[str, int]
+    control: str
+    failure_domain: str
+    incarnation: int
+    heard_at: float
+    version: int = 0
+    confirmed_at: float = float("-inf")
+    reaches_store: bool = False
+    ready: bool = False
+    silent_s: float = BEAT_S * SILENT_BEATS
+    loads: dict[str, int] = attrs.field(factory=dict)
+
+    def candidate(self) -> Candidate:
+        """Return it as a reader of the store."""
+        return Candidate(self.name, self.failure_domain, self.reaches_store)
+
+
+@attrs.define
+class Own:
+    """What this daemon tells of itself; see `Peer`."""
+
+    name: str
+    address: str
+    control: str
+    failure_domain: str
+    incarnation: int
+    version: int = 0
+    confirmed_at: float = float("-inf")
+    reaches_store: bool = False
+    ready: bool = False
+
+
+@attrs.frozen
+class Listeners:
+    """Who is told of what peers say.
+
+    Attributes
+    ----------
+    on_changes : callable
+        Items of the store, the version before and after them, and the peer.
+    on_behind : callable
+        A peer knows a later version.
+    on_confirmed : callable
+        A reader confirmed what this daemon knows, at a time.
+    on_room : callable
+        A backend server may have room.
+    """
+
+    on_changes: Callable[[int, list[Stored], int, Peer], None]
+    on_behind: Callable[[Peer], None]
+    on_confirmed: Callable[[float], None]
+    on_room: Callable[[], None]
+
+
+class Peers(asyncio.DatagramProtocol):
+    """The other daemons, over datagrams.
+
+    Parameters
+    ----------
+    own : Own
+        What is told of this daemon.
+    seeds : iterable of str
+        Addresses of daemons that may be there.
+    placer : Placer
+        Gets and gives loads.
+    listeners : Listeners
+        Are told what peers say.
+    counters : Counters
+        Counts datagrams.
+    """
+
+    def __init__(
+        self,
+        own: Own,
+        seeds: Iterable[tuple[str, int]],
+        placer: Placer,
+        listeners: Listeners,
+        counters: Counters,
+    ) -> None:
+        self.own = own
+        self._seeds = set(seeds)
+        self._placer = placer
+        self._listeners = listeners
+        self._counters = counters
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.DatagramTransport | None = None
+        self._by_name: dict[str, Peer] = {}
+        self._changed: dict[str, int] = {}
+        self._reported_at_by_server: dict[str, float] = {}
+        self._gathering: asyncio.TimerHandle | None = None
+        self._rng = random.Random()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport."""
+        # uvloop's transports only look like asyncio's.
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore what the network says of a peer: its silence counts."""
+
+    def alive(self) -> list[Peer]:
+        """Return the peers heard lately."""
+        return list(self._by_name.values())
+
+    @property
+    def beat_s(self) -> float:
+        """Seconds between two beats."""
+        return max(BEAT_S, len(self._by_name) / BEATS_PER_S)
+
+    # Sending
+
+    async def run(self) -> None:
+        """Beat until cancelled."""
+        while True:
+            self._forget_silent()
+            self._beat()
+            await asyncio.sleep(self.beat_s * self._rng.uniform(0.9, 1.1))
+
+    def on_seen(self, server_id: str, failed: bool) -> None:
+        """Take a change of a server's load, to be told soon."""
+        self._changed[server_id] = self._changed.get(server_id, 0) + failed
+        if self._gathering is None and len(self._by_name) <= MAX_EAGER_PEERS:
+            self._gathering = self._loop.call_later(GATHER_S, self._send_loads)
+
+    def tell_changes(self, after: int, items: Iterable[Stored], version: int) -> None:
+        """Tell every peer of changes in the store."""
+        message = {
+            "t": "changes",
+            "after": after,
+            "version": version,
+            "items": [[item.key, _text(item.value), item.version] for item in items],
+        }
+        self._send_all(message)
+        self._beat()
+
+    def leave(self) -> None:
+        """Tell every peer that this daemon stops."""
+        self._send_all({"t": "leave"})
+
+    def _beat(self) -> None:
+        now = self._loop.time()
+        own = self.own
+        told = self._rng.sample(list(self._by_name.values()), min(_ADDRESSES_TOLD, len(self._by_name)))
+        message = {
+            "t": "beat",
+            "control": own.control,
+            "domain": own.failure_domain,
+            "version": own.version,
+            "age": round(min(1e6, now - own.confirmed_at), 3),
+            "store": own.reaches_store,
+            "ready": own.ready,
+            "next": self.beat_s,
+            "peers": [f"{peer.address[0]}:{peer.address[1]}" for peer in told],
+            "loads": {load.entry.id: load.own for load in self._placer.loads() if load.own},
+        }
+        addresses = {peer.address for peer in self._by_name.values()}
+        self._send(message, addresses | self._seeds)
+
+    def _send_loads(self) -> None:
+        self._gathering = None
+        now = self._loop.time()
+        rows = []
+        for server_id, failures in self._changed.items():
+            load = self._placer.load(server_id)
+            if load is None:
+                continue
+            row: list[Any] = [server_id, load.own, failures]
+            if load.report is not None and self._is_news(server_id, load.reported_at):
+                report = load.report
+                age_ms = round((now - load.reported_at) * 1000)
+                row.append([report.running, report.waiting, report.pace, age_ms])
+            rows.append(row)
+        self._changed.clear()
+        self._send_all({"t": "loads", "rows": rows})
+
+    def _is_news(self, server_id: str, reported_at: float) -> bool:
+        if self._reported_at_by_server.get(server_id) == reported_at:
+            return False
+        self._reported_at_by_server[server_id] = reported_at
+        return True
+
+    def _send_all(self, message: dict[str, Any]) -> None:
+        self._send(message, {peer.address for peer in self._by_name.values()})
+
+    def _send(self, message: dict[str, Any], addresses: Iterable[tuple[str, int]]) -> None:
+        if self._transport is None:
+            return
+        message["n"] = self.own.name
+        message["i"] = self.own.incarnation
+        data = json.dumps(message, separators=(",", ":")).encode()
+        if len(data) > _COMPRESS_ABOVE_BYTES:
+            data = zlib.compress(data, 1)
+        if len(data) > MAX_DATAGRAM_BYTES:
+            # The beat tells the version, and peers that are behind ask for the whole.
+            _log.warning("message too large for a datagram", bytes=len(data), kind=message["t"])
+            return
+        for address in addresses:
+            self._transport.sendto(data, address)
+
+    # Receiving
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take a peer's message; one that can't be read is dropped."""
+        self._counters.peer_datagrams += 1
+        try:
+            if data[:1] != b"{":
+                data = zlib.decompress(data)
+            message = json.loads(data)
+            name, incarnation = str(message["n"]), int(message["i"])
+            if name == self.own.name:
+                self._seeds.discard(addr)
+                return
+            self._take(message, name, incarnation, addr)
+        except (ValueError, KeyError, TypeError, IndexError, zlib.error) as error:
+            _log.warning("a peer's message could not be read", peer=addr[0], error=repr(error))
+
+    def _take(
+        self, message: dict[str, Any], name: str, incarnation: int, addr: tuple[str, int]
+    ) -> None:
+        kind = message["t"]
+        peer = self._by_name.get(name)
+        if kind == "beat":
+            self._on_beat(message, name, incarnation, addr)
+        elif peer is None or peer.incarnation != incarnation:
+            return
+        elif kind == "loads":
+            self._on_loads(peer, message["rows"])
+        elif kind == "changes":
+            items = [Stored(key, _bytes(value), int(v)) for key, value, v in message["items"]]
+            self._listeners.on_changes(int(message["after"]), items, int(message["version"]), peer)
+        elif kind == "leave":
+            self._forget(peer, "it stops")
+
+    def _on_beat(
+        self, message: dict[str, Any], name: str, incarnation: int, addr: tuple[str, int]
+    ) -> None:
+        now = self._loop.time()
+        peer = self._by_name.get(name)
+        if peer is not None and peer.incarnation > incarnation:
+            return
+        if peer is None or peer.incarnation != incarnation:
+            if peer is not None:
+                self._forget(peer, "it started again")
+            domain, control = str(message["domain"]), str(message["control"])
+            peer = Peer(name, addr, control, domain, incarnation, now)
+            self._by_name[name] = peer
+            _log.info("peer found", peer=name, address=addr[0])
+            self._beat()
+        peer.address = addr
+        peer.heard_at = now
+        peer.version = int(message["version"])
+        peer.confirmed_at = now - float(message["age"])
+        peer.reaches_store = bool(message["store"])
+        peer.ready = bool(message["ready"])
+        peer.silent_s = float(message["next"]) * SILENT_BEATS
+        self._on_beat_loads(peer, message["loads"])
+        for text in message["peers"]:
+            host, _, port = str(text).rpartition(":")
+            self._meet((host, int(port)))
+        if peer.version > self.own.version:
+            self._listeners.on_behind(peer)
+        else:
+            self._listeners.on_confirmed(peer.confirmed_at)
+
+    def _meet(self, address: tuple[str, int]) -> None:
+        known = {peer.address for peer in self._by_name.values()} | self._seeds
+        if address not in known and f"{address[0]}:{address[1]}" != self.own.address:
+            self._beat_to(address)
+
+    def _beat_to(self, address: tuple[str, int]) -> None:
+        seeds, by_name = self._seeds, self._by_name
+        self._seeds, self._by_name = {address}, {}
+        try:
+            self._beat()
+        finally:
+            self._seeds, self._by_name = seeds, by_name
+
+    def _on_beat_loads(self, peer: Peer, loads: dict[str, int]) -> None:
+        for server_id in peer.loads.keys() - loads.keys():
+            self._placer.on_peer_load(peer.name, server_id, 0)
+        for server_id, count in loads.items():
+            self._placer.on_peer_load(peer.name, server_id, int(count))
+        peer.loads = {key: int(count) for key, count in loads.items()}
+
+    def _on_loads(self, peer: Peer, rows: list[list[Any]]) -> None:
+        now = self._loop.time()
+        for server_id, count, failures, *report in rows:
+            self._placer.on_peer_load(peer.name, server_id, int(count))
+            peer.loads[server_id] = int(count)
+            load = self._placer.load(server_id)
+            if load is None:
+                continue
+            for _ in range(min(int(failures), 4)):
+                load.on_failure(now)
+            for running, waiting, pace, age_ms in report:
+                known = Report(int(running), int(waiting), float(pace))
+                self._placer.on_report(now - age_ms / 1000, server_id, known)
+        self._listeners.on_room()
+
+    def _forget_silent(self) -> None:
+        now = self._loop.time()
+        for peer in list(self._by_name.values()):
+            if now - peer.heard_at > peer.silent_s:
+                self._forget(peer, "it is silent")
+
+    def _forget(self, peer: Peer, reason: str) -> None:
+        self._by_name.pop(peer.name, None)
+        self._placer.on_peer_gone(peer.name)
+        _log.info("peer lost", peer=peer.name, reason=reason)
+
+
+def _text(value: bytes | None) -> str | None:
+    return None if value is None else base64.b64encode(value).decode()
+
+
+def _bytes(value: str | None) -> bytes | None:
+    return None if value is None else base64.b64decode(value)
+
+
+def directory_text(items: Iterable[Stored], version: int) -> bytes:
+    """Return a whole directory for a peer that asks for it."""
+    rows = [[item.key, _text(item.value), item.version] for item in items]
+    return zlib.compress(json.dumps({"version": version, "items": rows}).encode(), 1)
+
+
+def read_directory(data: bytes) -> tuple[list[Stored], int]:
+    """Return the items and the version of a peer's directory.
+
+    Raises
+    ------
+    ValueError
+        Where the text is not one.
+    """
+    try:
+        found = json.loads(zlib.decompress(data))
+        items = [Stored(str(k), _bytes(value), int(v)) for k, value, v in found["items"]]
+        return items, int(found["version"])
+    except (KeyError, TypeError, zlib.error) as error:
+        raise ValueError(f"not a directory: {error!r}") from error
--- /dev/null
+++ b/src/sycamorebay/transport/gateway/probing.py
@@ -0,0 +1,103 @@
+"""Asks backend servers for their load where no answer told it lately."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from collections.abc import Callable
+
+from sycamorebay import log
+from sycamorebay.coordination.placing import Placer
+from sycamorebay.coordination.server_load import ServerLoad
+from sycamorebay.protocol.dialect import Dialect
+from sycamorebay.state.routing import RoutingTable
+from sycamorebay.transport.gateway.client import AnswerError, ConnectError, Pool, request_head
+from sycamorebay.transport.gateway.counters import Counters
+from sycamorebay.transport.gateway.peers import Peers
+
+# A report is worth a probe when it is older than this: the pace of a machine lasts about 0.3 s.
+REPORT_AGE_S = 0.12
+TICK_S = 0.03
+TIMEOUT_S = 0.25
+
+_log = log.part("probing")
+
+
+class Probing:
+    """Probes the servers that fall to this daemon.
+
+    Each server is probed by one daemon of the fleet, which tells the others what it heard.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        placer: Placer,
+        pool: Pool,
+        dialect: Dialect,
+        peers: Peers,
+        routing: Callable[[], RoutingTable | None],
+        counters: Counters,
+    ) -> None:
+        self._name = name
+        self._placer = placer
+        self._pool = pool
+        self._dialect = dialect
+        self._peers = peers
+        self._routing = routing
+        self._counters = counters
+        self._asking: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            now = loop.time()
+            names = [self._name, *(peer.name for peer in self._peers.alive())]
+            for load in self._placer.loads():
+                if self._is_due(now, load) and _keeper(load.entry.id, names) == self._name:
+                    self._start(load)
+            await asyncio.sleep(TICK_S)
+
+    def _is_due(self, now: float, load: ServerLoad) -> bool:
+        if load.entry.leaving or load.entry.id in self._asking or now < load.suspended_until:
+            return False
+        return now - load.reported_at > REPORT_AGE_S
+
+    def _start(self, load: ServerLoad) -> None:
+        self._asking.add(load.entry.id)
+        task = asyncio.get_running_loop().create_task(self._ask(load))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _ask(self, load: ServerLoad) -> None:
+        entry = load.entry
+        routing = self._routing()
+        service = routing.services_by_name.get(entry.service) if routing else None
+        try:
+            if service is None:
+                return
+            self._counters.probes += 1
+            host = entry.address.encode()
+            async with asyncio.timeout(TIMEOUT_S):
+                connection = await self._pool.take(entry.address)
+                head = request_head("GET", service.health_path, [(b"host", host)])
+                answer = await connection.ask(head, b"", lambda _status, _headers: True)
+            self._pool.give_back(entry.address, connection)
+            marks = self._dialect.read_answer(answer.status, answer.headers)
+            if marks.report is not None and marks.server_id in ("", entry.id):
+                now = asyncio.get_running_loop().time()
+                self._placer.on_report(now, entry.id, marks.report)
+                self._peers.on_seen(entry.id, False)
+        except (TimeoutError, ConnectError, AnswerError) as error:
+            load.on_failure(asyncio.get_running_loop().time())
+            self._peers.on_seen(entry.id, True)
+            _log.info("probe failed", server=entry.id, reason=str(error) or type(error).__name__)
+        finally:
+            self._asking.discard(entry.id)
+
+
+def _keeper(server_id: str, names: list[str]) -> str:
+    """Return which daemon probes a server: the same on all that see the same daemons."""
+    return max(names, key=lambda name: hashlib.blake2b(f"{server_id}/{name}".encode()).digest())
--- /dev/null
+++ b/src/sycamorebay/transport/gateway/settings.py
@@ -0,0 +1,54 @@
+"""Settings of one gateway."""
+
+from __future__ import annotations
+
+import attrs
+
+from sycamorebay.coordination.retry_budget import RetryBounds
+
+
+@attrs.frozen
+class GatewaySettings:
+    """Checked settings; addresses are ``IP:port``.
+
+    Attributes
+    ----------
+    name : str
+        Unique in the fleet.
+    address : str
+        This machine's IP address.
+    failure_domain : str
+        Where this daemon runs.
+    callers, readiness, control, datagrams : str
+        Where it listens: to callers, to the platform's question whether it is ready, to peers and
+        scrapes, and to peers' datagrams.
+    seeds : tuple of str
+        Where datagrams of other daemons may be taken.
+    retries : RetryBounds
+        What the fleet may send again.
+    stop_s : float
+        Time between SIGTERM and SIGKILL, in seconds.
+    probes_per_s : float
+        Probes that one backend server may get of the whole fleet a second.
+    max_descriptors : int
+        Open files and sockets that this process may have.
+    """
+
+    name: str
+    address: str
+    failure_domain: str
+    callers: str
+    readiness: str
+    control: str
+    datagrams: str
+    seeds: tuple[str, ...]
+    retries: RetryBounds
+    stop_s: float
+    probes_per_s: float
+    max_descriptors: int
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return an address's host and port."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- a/src/sycamorebay/transport/platform.py
+++ b/src/sycamorebay/transport/platform.py
@@ -18,47 +18,12 @@
 from sycamorebay.coordination.pace import Pace
 from sycamorebay.errors import PlatformError
 from sycamorebay.settings import PlatformSettings
+from sycamorebay.state.stored import Listing, Stored, Write
 from sycamorebay.transport.clock import boottime
 
 LEAVING = "leaving"
 
 
-@attrs.frozen
-class Stored:
-    """A key's value in the store.
-
-    Attributes
-    ----------
-    key : str
-        The key.
-    value : bytes or None
-        Its value; None where it was deleted.
-    version : int
-        The store's revision of its last change.
-    """
-
-    key: str
-    value: bytes | None
-    version: int
-
-
-@attrs.frozen
-class Listing:
-    """All keys under a prefix at one version of the store."""
-
-    items: tuple[Stored, ...]
-    version: int
-
-
-@attrs.frozen
-class Write:
-    """A key to write along with another, or to delete where `value` is None."""
-
-    key: str
-    value: bytes | None
-    lease: int = 0
-
-
 @attrs.frozen
 class Vm:
     """One VM of the platform's list: its address, and whether it is leaving."""
