Take an idle connection out of the pool for good

Cause: Pool.take popped from a copy of the list of idle connections, so a connection in use was handed out again; requests then queued behind each other on it. Ruled out: pipelining (the same happened to lone requests).

--- a/src/sycamorebay/transport/gateway/client.py
+++ b/src/sycamorebay/transport/gateway/client.py
@@ -294,11 +294,10 @@
             return []
         now = self._clock()
         kept = [c for c in idle if c.open and now - c.idle_since < c.idle_s]
-        if len(kept) < len(idle):
-            for connection in idle:
-                if connection not in kept:
-                    connection.abort()
-            self._idle_by_address[address] = kept
+        for connection in idle:
+            if connection not in kept:
+                connection.abort()
+        self._idle_by_address[address] = kept
         return kept
 
     async def _connect(self, address: str, timeout_s: float) -> Connection:
