--- a/src/sycamorebay/coordination/directory.py
+++ b/src/sycamorebay/coordination/directory.py
@@ -31,9 +31,7 @@
         gone = [
             Stored(item.key, None, listing.version)
             for item in self._by_key.values()
-            if item.value is not None
-            and item.key not in listed
-            and item.version <= listing.version
+            if item.value is not None and item.key not in listed and item.version <= listing.version
         ]
         changed += self._merge(gone)
         self.version = max(self.version, listing.version)
--- a/src/sycamorebay/coordination/placing.py
+++ b/src/sycamorebay/coordination/placing.py
@@ -180,7 +180,9 @@
 
     def loads(self) -> Iterable[ServerLoad]:
         """Return what is known of all servers."""
-        return [load for pool in self._pools_by_service.values() for load in pool.loads_by_id.values()]
+        return [
+            load for pool in self._pools_by_service.values() for load in pool.loads_by_id.values()
+        ]
 
     def on_report(self, at: float, server_id: str, report: Report) -> None:
         """Take a server's word on its load, made at a time."""
--- a/src/sycamorebay/platform/boot.py
+++ b/src/sycamorebay/platform/boot.py
@@ -34,7 +34,7 @@
         try:
             return reader(source, name, *rest)
         except ValueFault as error:
-            faults.append(Fault(name, None, str(error)))
+            faults.append(Fault(name, "", str(error)))
             return {} if reader is table else 0
 
     bind = take(table, found, "bind")
@@ -42,7 +42,7 @@
     provider = take(table, found, "provider")
     ports = found.get("port_range") if isinstance(found, dict) else None
     if not (isinstance(ports, list) and len(ports) == 2 and all(type(p) is int for p in ports)):
-        faults.append(Fault("port_range", None, "port_range: two ports were expected"))
+        faults.append(Fault("port_range", "", "port_range: two ports were expected"))
         ports = [0, 0]
     address = str(take(text, found, "ip"))
     seeds = [str(seed) for seed in found.get("seeds") or []] if isinstance(found, dict) else []
--- a/src/sycamorebay/transport/gateway/following.py
+++ b/src/sycamorebay/transport/gateway/following.py
@@ -98,9 +98,7 @@
 
     # From peers
 
-    def on_peer_changes(
-        self, after: int, items: list[Stored], version: int, peer: Peer
-    ) -> None:
+    def on_peer_changes(self, after: int, items: list[Stored], version: int, peer: Peer) -> None:
         """Take changes that a reader tells."""
         changed = self.directory.on_changes(after, items, version)
         if changed is None:
--- a/src/sycamorebay/transport/gateway/gateway.py
+++ b/src/sycamorebay/transport/gateway/gateway.py
@@ -127,17 +127,20 @@
             self._loop.add_signal_handler(number, self._stopping.set)
         self._loop.add_signal_handler(signal.SIGHUP, self._on_reload)
         readiness, control = Listener(self._on_readiness), Listener(self._on_control)
-        async with self._open(settings.readiness, readiness), self._open(settings.control, control):
-            async with self._open(settings.callers, self._callers):
-                await self._loop.create_datagram_endpoint(
-                    lambda: self._peers, local_addr=split_address(settings.datagrams)
-                )
-                _log.warning("started", name=settings.name, callers=settings.callers)
-                tasks = [self._loop.create_task(part) for part in self._background()]
-                await self._stopping.wait()
-                await self._stop()
-                for task in tasks:
-                    task.cancel()
+        async with (
+            self._open(settings.readiness, readiness),
+            self._open(settings.control, control),
+            self._open(settings.callers, self._callers),
+        ):
+            await self._loop.create_datagram_endpoint(
+                lambda: self._peers, local_addr=split_address(settings.datagrams)
+            )
+            _log.warning("started", name=settings.name, callers=settings.callers)
+            tasks = [self._loop.create_task(part) for part in self._background()]
+            await self._stopping.wait()
+            await self._stop()
+            for task in tasks:
+                task.cancel()
         _log.warning("stopped", log_lines_dropped=self._lines.dropped)
 
     def _background(self) -> list[Coroutine[Any, Any, None]]:
--- a/src/sycamorebay/transport/gateway/peers.py
+++ b/src/sycamorebay/transport/gateway/peers.py
@@ -200,7 +200,9 @@
     def _beat(self) -> None:
         now = self._loop.time()
         own = self.own
-        told = self._rng.sample(list(self._by_name.values()), min(_ADDRESSES_TOLD, len(self._by_name)))
+        told = self._rng.sample(
+            list(self._by_name.values()), min(_ADDRESSES_TOLD, len(self._by_name))
+        )
         message = {
             "t": "beat",
             "control": own.control,
--- /dev/null
+++ b/tests/gateway_fleet.py
@@ -0,0 +1,235 @@
+"""Gateways of the product on loopback, with the project's stand-ins of store and servers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import socket
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+import attrs
+import structlog
+from aiohttp import web
+
+from standins.kv import KvStore
+from standins.scripted import ScriptedServer
+from sycamorebay.coordination.retry_budget import RetryBounds
+from sycamorebay.platform.documents import PlatformDocuments
+from sycamorebay.platform.marks import PlatformDialect
+from sycamorebay.platform.store import PlatformStore
+from sycamorebay.transport.gateway.gateway import Gateway
+from sycamorebay.transport.gateway.lines import LineWriter
+from sycamorebay.transport.gateway.settings import GatewaySettings
+
+HOST = "desk.test"
+
+structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
+
+
+def route(kind: str = "safe", **changes: Any) -> dict[str, Any]:
+    found = {
+        "host": HOST,
+        "prefix": f"/{kind}/",
+        "kind": kind,
+        "timeout": "1000ms",
+        "goal": "500ms",
+        "priority": 2,
+        "backend": "desk",
+        "attempts": 3,
+    }
+    return {**found, **changes}
+
+
+def config(version: int = 1, **routes: dict[str, Any]) -> dict[str, Any]:
+    named = routes or {kind: route(kind) for kind in ("safe", "unsafe", "download")}
+    service = {"health_path": "/healthz", "max_conns": 100, "proto": "h1", "tls": False}
+    return {
+        "version": version,
+        "routes": named,
+        "services": {"desk": service, "dock": service},
+        "limits": {
+            "max_header_bytes": 4096,
+            "max_body_bytes": 100_000,
+            "header_timeout": "300ms",
+            "idle_timeout": "5000ms",
+        },
+    }
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+@attrs.define
+class Answer:
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class Caller:
+    """A caller's connection, byte by byte."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._reader = reader
+        self.writer = writer
+
+    def send(
+        self,
+        request_id: str,
+        path: str = "/safe/x",
+        method: str = "GET",
+        body: bytes = b"",
+        deadline_ms: int = 900,
+        host: str = HOST,
+    ) -> None:
+        head = f"{method} {path} HTTP/1.1\r\nHost: {host}\r\n"
+        head += f"Sycamorebay-Request-Id: {request_id}\r\n"
+        head += f"Sycamorebay-Deadline-Ms: {deadline_ms}\r\n"
+        if body:
+            head += f"Content-Length: {len(body)}\r\n"
+        self.writer.write(head.encode() + b"\r\n" + body)
+
+    async def answer(self) -> Answer:
+        head = await self._reader.readuntil(b"\r\n\r\n")
+        first, *rest = head.decode("latin-1").split("\r\n")
+        pairs = [line.partition(":") for line in rest if line]
+        headers = {name.lower(): value.strip() for name, _, value in pairs}
+        body = await self._reader.readexactly(int(headers.get("content-length", "0")))
+        return Answer(int(first.split(" ")[1]), headers, body)
+
+    async def ask(self, request_id: str, *args: Any, **kwargs: Any) -> Answer:
+        self.send(request_id, *args, **kwargs)
+        return await self.answer()
+
+    async def ended(self) -> bytes:
+        """Return what comes until the connection ends."""
+        with contextlib.suppress(ConnectionError):
+            return await self._reader.read()
+        return b""
+
+    def close(self) -> None:
+        self.writer.close()
+
+
+class Fleet:
+    """A store, scripted servers and gateways."""
+
+    def __init__(self) -> None:
+        self.store = KvStore()
+        self.servers_by_id: dict[str, ScriptedServer] = {}
+        self.gateways: list[Gateway] = []
+        self.settings: list[GatewaySettings] = []
+        self._store_address = ""
+        self._tasks: list[asyncio.Task[None]] = []
+        self._stack = contextlib.AsyncExitStack()
+
+    async def start_store(self) -> None:
+        runner = web.AppRunner(self.store.app(), shutdown_timeout=0.1)
+        await runner.setup()
+        port = free_port()
+        await web.TCPSite(runner, "127.0.0.1", port).start()
+        self._stack.push_async_callback(runner.cleanup)
+        self._store_address = f"127.0.0.1:{port}"
+
+    async def server(self, server_id: str, service: str = "desk", **kwargs: Any) -> ScriptedServer:
+        server = ScriptedServer(server_id, **kwargs)
+        await server.start()
+        self._stack.push_async_callback(server.stop)
+        self.servers_by_id[server_id] = server
+        self.store.put(f"servers/{server_id}", server.entry(service))
+        return server
+
+    async def gateway(self, **changes: Any) -> Gateway:
+        number = len(self.gateways)
+        ports = [f"127.0.0.1:{free_port()}" for _ in range(4)]
+        found: dict[str, Any] = {
+            "name": f"gateway-{number}",
+            "address": "127.0.0.1",
+            "failure_domain": "a",
+            "callers": ports[0],
+            "readiness": ports[1],
+            "control": ports[2],
+            "datagrams": ports[3],
+            "seeds": tuple(one.datagrams for one in self.settings),
+            "retries": RetryBounds(0.2, 20, 10.0),
+            "stop_s": 2.0,
+            "probes_per_s": 60.0,
+            "max_descriptors": 4096,
+        }
+        settings = GatewaySettings(**{**found, **changes})
+        reader, writer = os.pipe()
+        self._stack.callback(os.close, reader)
+        self._stack.callback(os.close, writer)
+        gateway = Gateway(
+            settings,
+            PlatformDialect(),
+            PlatformDocuments(),
+            lambda pool, counters: PlatformStore(self._store_address, pool, counters),
+            LineWriter(writer),
+        )
+        self.gateways.append(gateway)
+        self.settings.append(settings)
+        self._tasks.append(asyncio.create_task(gateway.run()))
+        return gateway
+
+    async def ready(self) -> None:
+        """Wait until every gateway is ready."""
+        for settings in self.settings:
+            await eventually(lambda s=settings: self.is_ready(s))
+
+    async def is_ready(self, settings: GatewaySettings) -> bool:
+        try:
+            caller = await self.connect(settings.readiness)
+        except OSError:
+            return False
+        answer = await caller.ask("r", "/readyz")
+        caller.close()
+        return answer.status == 200
+
+    async def caller(self, number: int = 0) -> Caller:
+        return await self.connect(self.settings[number].callers)
+
+    async def connect(self, address: str) -> Caller:
+        host, _, port = address.partition(":")
+        return Caller(*await asyncio.open_connection(host, int(port)))
+
+    async def close(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._stack.aclose()
+
+
+@asynccontextmanager
+async def fleet(servers: int = 1, gateways: int = 1, **kwargs: Any) -> AsyncIterator[Fleet]:
+    """Start a store, servers ``s0``, ``s1``, ... of the service ``desk``, and gateways."""
+    started = Fleet()
+    try:
+        await started.start_store()
+        started.store.put("op/config", kwargs.pop("document", None) or config())
+        for number in range(servers):
+            await started.server(f"s{number}")
+        for _ in range(gateways):
+            await started.gateway(**kwargs)
+        await started.ready()
+        yield started
+    finally:
+        await started.close()
+
+
+async def eventually(check: Callable[[], Any], within_s: float = 5.0) -> None:
+    """Wait until a check holds."""
+    async with asyncio.timeout(within_s):
+        while True:
+            found = check()
+            if asyncio.iscoroutine(found):
+                found = await found
+            if found:
+                return
+            await asyncio.sleep(0.01)
--- /dev/null
+++ b/tests/test_gateway_connections.py
@@ -0,0 +1,119 @@
+from __future__ import annotations
+
+import asyncio
+
+import testtools
+
+from standins.scripted import Line, Seen
+from tests.gateway_fleet import eventually, fleet
+from tests.support import asynchronous
+
+
+class PipeliningTest(testtools.TestCase):
+    @asynchronous
+    async def test_answers_keep_their_order_around_a_slow_one(self):
+        async with fleet(servers=1) as started:
+
+            async def first_slow(seen: Seen, line: Line) -> None:
+                if seen.request_id == "r0":
+                    await asyncio.sleep(0.3)
+                line.answer(seen, body=seen.request_id.encode())
+
+            server = started.servers_by_id["s0"]
+            server.script = first_slow
+            caller = await started.caller()
+            for number in range(4):
+                caller.send(f"r{number}")
+            bodies = [(await caller.answer()).body for _ in range(4)]
+            self.assertEqual([b"r0", b"r1", b"r2", b"r3"], bodies)
+
+    @asynchronous
+    async def test_safe_requests_run_beside_each_other_and_an_unsafe_one_waits(self):
+        async with fleet(servers=2) as started:
+            order: list[str] = []
+
+            async def slow(seen: Seen, line: Line) -> None:
+                order.append("start " + seen.request_id)
+                await asyncio.sleep(0.1)
+                order.append("end " + seen.request_id)
+                line.answer(seen)
+
+            for server in started.servers_by_id.values():
+                server.script = slow
+            caller = await started.caller()
+            caller.send("r0")
+            caller.send("r1")
+            caller.send("u", "/unsafe/x", "POST", b"x")
+            for _ in range(3):
+                self.assertEqual(200, (await caller.answer()).status)
+            self.assertLess(order.index("start r1"), order.index("end r0"))
+            self.assertLess(order.index("end r1"), order.index("start u"))
+            self.assertLess(order.index("end r0"), order.index("start u"))
+
+    @asynchronous
+    async def test_a_malformed_request_is_refused_after_those_before_it(self):
+        async with fleet(servers=1) as started:
+            caller = await started.caller()
+            caller.send("r0")
+            caller.writer.write(b"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n")
+            self.assertEqual(200, (await caller.answer()).status)
+            refused = await caller.answer()
+            self.assertEqual((400, "close"), (refused.status, refused.headers["connection"]))
+
+
+class BoundsTest(testtools.TestCase):
+    @asynchronous
+    async def test_a_large_head_a_large_body_and_a_slow_head(self):
+        async with fleet(servers=1) as started:
+            caller = await started.caller()
+            caller.send("r" * 5000)
+            self.assertEqual(431, (await caller.answer()).status)
+            caller = await started.caller()
+            caller.send("r1", "/unsafe/x", "POST", b"x" * 100_001)
+            self.assertEqual(413, (await caller.answer()).status)
+            caller = await started.caller()
+            caller.writer.write(b"GET /safe/x HTTP/1.1\r\nHos")
+            self.assertEqual(408, (await caller.answer()).status)
+
+    @asynchronous
+    async def test_a_body_in_chunks_arrives_whole(self):
+        async with fleet(servers=1) as started:
+            caller = await started.caller()
+            caller.writer.write(
+                b"POST /unsafe/x HTTP/1.1\r\nHost: desk.test\r\nSycamorebay-Request-Id: r\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+            )
+            self.assertEqual(200, (await caller.answer()).status)
+            self.assertEqual(b"abcde", started.servers_by_id["s0"].seen[0].body)
+
+
+class StoppingTest(testtools.TestCase):
+    @asynchronous
+    async def test_a_stop_answers_all_that_was_read(self):
+        async with fleet(servers=1) as started:
+
+            async def slow(seen: Seen, line: Line) -> None:
+                await asyncio.sleep(0.3)
+                line.answer(seen)
+
+            started.servers_by_id["s0"].script = slow
+            busy, idle = await started.caller(), await started.caller()
+            for number in range(3):
+                busy.send(f"r{number}")
+            await eventually(lambda: len(started.servers_by_id["s0"].seen) == 3)
+            started.gateways[0]._stopping.set()
+            self.assertFalse(await started.is_ready(started.settings[0]))
+            answers = [await busy.answer() for _ in range(3)]
+            self.assertEqual([200, 200, 200], [answer.status for answer in answers])
+            self.assertEqual("close", answers[2].headers["connection"])
+            late = await idle.ask("late")
+            self.assertEqual((200, "close"), (late.status, late.headers["connection"]))
+            self.assertEqual(b"", await idle.ended())
+
+    @asynchronous
+    async def test_a_new_connection_during_the_stop_is_served(self):
+        async with fleet(servers=1) as started:
+            started.gateways[0]._stopping.set()
+            await asyncio.sleep(0.1)
+            answer = await (await started.caller()).ask("r")
+            self.assertEqual((200, "close"), (answer.status, answer.headers["connection"]))
--- /dev/null
+++ b/tests/test_gateway_forwarding.py
@@ -0,0 +1,345 @@
+from __future__ import annotations
+
+import asyncio
+
+import testtools
+
+from standins.scripted import Line, Seen
+from tests.gateway_fleet import config, eventually, fleet, route
+from tests.support import asynchronous
+
+
+async def run_and_reset(seen: Seen, line: Line) -> None:
+    line.reset()
+
+
+class NeverTwiceTest(testtools.TestCase):
+    """A request that isn't idempotent reaches a server once, whatever its method."""
+
+    async def check(self, method: str) -> None:
+        async with fleet(servers=3) as started:
+            for server in started.servers_by_id.values():
+                server.script = run_and_reset
+            caller = await started.caller()
+            answer = await caller.ask("r1", "/unsafe/x", method)
+            self.assertEqual(502, answer.status)
+            self.assertEqual("unknown", answer.headers["sycamorebay-outcome"])
+            await asyncio.sleep(0.1)
+            seen = [one for server in started.servers_by_id.values() for one in server.seen]
+            self.assertEqual(["r1"], [one.request_id for one in seen])
+
+    @asynchronous
+    async def test_post(self):
+        await self.check("POST")
+
+    @asynchronous
+    async def test_delete(self):
+        await self.check("DELETE")
+
+    @asynchronous
+    async def test_put_on_a_kept_connection(self):
+        async with fleet(servers=1) as started:
+            server = started.servers_by_id["s0"]
+            caller = await started.caller()
+            self.assertEqual(200, (await caller.ask("warm", "/safe/x")).status)
+            server.script = run_and_reset
+            self.assertEqual(502, (await caller.ask("r1", "/unsafe/x", "PUT")).status)
+            await asyncio.sleep(0.1)
+            self.assertEqual(["warm", "r1"], [one.request_id for one in server.seen])
+
+
+class RepeatingTest(testtools.TestCase):
+    @asynchronous
+    async def test_a_safe_request_is_sent_to_another_server(self):
+        async with fleet(servers=2) as started:
+            failed: list[str] = []
+
+            async def reset_first(seen: Seen, line: Line) -> None:
+                if not failed:
+                    failed.append(seen.request_id)
+                    line.reset()
+                else:
+                    line.answer(seen)
+
+            for server in started.servers_by_id.values():
+                server.script = reset_first
+            answer = await (await started.caller()).ask("r1")
+            self.assertEqual((200, b"ok"), (answer.status, answer.body))
+            counts = sorted(len(server.seen) for server in started.servers_by_id.values())
+            self.assertEqual([1, 1], counts)
+
+    @asynchronous
+    async def test_attempts_of_the_route_are_kept(self):
+        document = config(safe=route("safe", attempts=2))
+        async with fleet(servers=4, document=document) as started:
+            for server in started.servers_by_id.values():
+                server.script = run_and_reset
+            answer = await (await started.caller()).ask("r1")
+            self.assertEqual(502, answer.status)
+            self.assertEqual(2, sum(len(s.seen) for s in started.servers_by_id.values()))
+
+    @asynchronous
+    async def test_an_unsafe_request_moves_on_only_after_the_server_says_not_run(self):
+        async with fleet(servers=2) as started:
+            shed: list[str] = []
+
+            async def shed_first(seen: Seen, line: Line) -> None:
+                if not shed:
+                    shed.append(seen.request_id)
+                    line.answer(seen, 503, headers={"Sycamorebay-Not-Executed": "1"}, signed=False)
+                else:
+                    line.answer(seen)
+
+            for server in started.servers_by_id.values():
+                server.script = shed_first
+            answer = await (await started.caller()).ask("r1", "/unsafe/x", "POST", b"bid")
+            self.assertEqual(200, answer.status)
+
+    @asynchronous
+    async def test_a_refusal_says_not_run_only_where_no_server_may_have_run_it(self):
+        async with fleet(servers=2) as started:
+
+            async def shed(seen: Seen, line: Line) -> None:
+                line.answer(seen, 503, headers={"Sycamorebay-Not-Executed": "1"}, signed=False)
+
+            for server in started.servers_by_id.values():
+                server.script = shed
+            answer = await (await started.caller()).ask("r1", "/unsafe/x", "POST", b"bid")
+            self.assertEqual(503, answer.status)
+            self.assertEqual("not-run", answer.headers["sycamorebay-outcome"])
+            self.assertGreater(float(answer.headers["retry-after"]), 0.0)
+
+            async def shed_or_reset(seen: Seen, line: Line) -> None:
+                if (
+                    len(started.servers_by_id["s0"].seen) + len(started.servers_by_id["s1"].seen)
+                    < 4
+                ):
+                    line.reset()
+                else:
+                    await shed(seen, line)
+
+            for server in started.servers_by_id.values():
+                server.script = shed_or_reset
+                server.seen.clear()
+            await asyncio.sleep(0.5)
+            answer = await (await started.caller()).ask("r2", "/safe/x")
+            self.assertEqual("unknown", answer.headers["sycamorebay-outcome"])
+
+
+class AnswersTest(testtools.TestCase):
+    """What a server sends reaches its own caller whole, or not at all."""
+
+    async def check(self, script: object, status: int) -> None:
+        document = config(safe=route("safe", attempts=1))
+        async with fleet(servers=1, document=document) as started:
+            started.servers_by_id["s0"].script = script  # type: ignore[assignment]
+            answer = await (await started.caller()).ask("r1")
+            self.assertEqual(status, answer.status)
+
+    @asynchronous
+    async def test_a_success_without_signature_is_none(self):
+        async def unsigned(seen: Seen, line: Line) -> None:
+            line.answer(seen, signed=False)
+
+        await self.check(unsigned, 502)
+
+    @asynchronous
+    async def test_a_cut_body_is_no_answer(self):
+        async def cut(seen: Seen, line: Line) -> None:
+            line.answer(seen, body=b"half", headers={"Content-Length": "8"})
+            await asyncio.sleep(0.02)
+            line.reset()
+
+        await self.check(cut, 502)
+
+    @asynchronous
+    async def test_an_encoded_body_is_no_answer(self):
+        async def encoded(seen: Seen, line: Line) -> None:
+            line.answer(seen, headers={"Content-Encoding": "gzip"})
+
+        await self.check(encoded, 502)
+
+    @asynchronous
+    async def test_bytes_that_are_no_answer(self):
+        async def noise(_seen: Seen, line: Line) -> None:
+            line.raw(b"\x00\x01 not http\r\n\r\n")
+
+        await self.check(noise, 502)
+
+    @asynchronous
+    async def test_an_answer_that_ends_with_its_connection(self):
+        async def unframed(seen: Seen, line: Line) -> None:
+            marks = f"Sycamorebay-Request-Id: {seen.request_id}\r\nSycamorebay-Server-Sig: s"
+            line.raw(f"HTTP/1.1 200 OK\r\n{marks}\r\n\r\nwhole".encode())
+            line.writer.close()
+            line.closed = True
+
+        async with fleet(servers=1) as started:
+            started.servers_by_id["s0"].script = unframed
+            answer = await (await started.caller()).ask("r1")
+            self.assertEqual((200, b"whole"), (answer.status, answer.body))
+
+    @asynchronous
+    async def test_a_late_extra_answer_goes_to_nobody(self):
+        async with fleet(servers=1) as started:
+
+            async def extra(seen: Seen, line: Line) -> None:
+                if seen.request_id == "r2":
+                    line.answer(seen, body=b"stray", request_id="r1")
+                line.answer(seen, body=seen.request_id.encode())
+
+            started.servers_by_id["s0"].script = extra
+            caller = await started.caller()
+            for number in range(1, 5):
+                answer = await caller.ask(f"r{number}")
+                self.assertEqual((200, f"r{number}".encode()), (answer.status, answer.body))
+
+    @asynchronous
+    async def test_surplus_bytes_end_the_connection(self):
+        async with fleet(servers=1) as started:
+
+            async def surplus(seen: Seen, line: Line) -> None:
+                line.answer(seen, body=seen.request_id.encode())
+                if seen.request_id == "r1":
+                    line.answer(seen, body=b"again")
+
+            server = started.servers_by_id["s0"]
+            server.script = surplus
+            caller = await started.caller()
+            for number in range(1, 4):
+                answer = await caller.ask(f"r{number}")
+                self.assertEqual(f"r{number}".encode(), answer.body)
+            lines = [seen.connection for seen in server.seen]
+            self.assertNotEqual(lines[0], lines[1])
+
+    @asynchronous
+    async def test_a_failure_of_the_server_is_passed_on_with_its_signature(self):
+        async def failing(seen: Seen, line: Line) -> None:
+            line.answer(seen, 500, b"broken")
+
+        async with fleet(servers=1) as started:
+            started.servers_by_id["s0"].script = failing
+            answer = await (await started.caller()).ask("r1", "/unsafe/x", "POST", b"x")
+            self.assertEqual((500, b"broken"), (answer.status, answer.body))
+            self.assertIn("sycamorebay-server-sig", answer.headers)
+
+
+class TimeTest(testtools.TestCase):
+    @asynchronous
+    async def test_the_route_timeout_ends_a_request(self):
+        async with fleet(servers=1, document=config(unsafe=route("unsafe", timeout="200ms"))) as f:
+
+            async def silent(_seen: Seen, _line: Line) -> None:
+                await asyncio.sleep(5)
+
+            server = f.servers_by_id["s0"]
+            server.script = silent
+            started = asyncio.get_running_loop().time()
+            answer = await (await f.caller()).ask("r1", "/unsafe/x", "POST", b"x")
+            waited = asyncio.get_running_loop().time() - started
+            self.assertEqual(504, answer.status)
+            self.assertGreater(waited, 0.15)
+            self.assertLess(waited, 0.6)
+            self.assertLessEqual(int(server.seen[0].headers["sycamorebay-deadline-ms"]), 200)
+            await eventually(lambda: server.cancelled == 1)
+
+    @asynchronous
+    async def test_a_caller_that_leaves_ends_the_work_at_the_server(self):
+        async with fleet(servers=1) as started:
+
+            async def long(_seen: Seen, _line: Line) -> None:
+                await asyncio.sleep(5)
+
+            server = started.servers_by_id["s0"]
+            server.script = long
+            caller = await started.caller()
+            caller.send("r1")
+            await eventually(lambda: len(server.seen) == 1)
+            caller.close()
+            await eventually(lambda: server.cancelled == 1, 0.5)
+
+    @asynchronous
+    async def test_a_caller_that_leaves_while_queued_is_never_sent(self):
+        async with fleet(servers=1) as started:
+            release = asyncio.Event()
+
+            async def held(seen: Seen, line: Line) -> None:
+                await release.wait()
+                line.answer(seen)
+
+            server = started.servers_by_id["s0"]
+            server.script = held
+            callers = [await started.caller() for _ in range(5)]
+            for number, caller in enumerate(callers):
+                caller.send(f"r{number}")
+                await asyncio.sleep(0.02)
+            await eventually(lambda: len(server.seen) == 3)
+            callers[4].close()
+            await asyncio.sleep(0.05)
+            release.set()
+            await callers[3].answer()
+            await asyncio.sleep(0.1)
+            self.assertNotIn("r4", [one.request_id for one in server.seen])
+
+
+class RoutingTest(testtools.TestCase):
+    @asynchronous
+    async def test_what_reaches_the_server(self):
+        async with fleet(servers=1) as started:
+            caller = await started.caller()
+            await caller.ask("r1", "/unsafe/x?q=1%20a", "POST", b"body")
+            seen = started.servers_by_id["s0"].seen[0]
+            self.assertEqual(
+                ("POST", "/unsafe/x?q=1%20a", b"body"), (seen.method, seen.target, seen.body)
+            )
+            self.assertEqual("r1", seen.request_id)
+            self.assertEqual("s0", seen.headers["sycamorebay-target-instance"])
+            self.assertLessEqual(int(seen.headers["sycamorebay-deadline-ms"]), 900)
+
+    @asynchronous
+    async def test_an_unknown_host_or_path_is_404(self):
+        async with fleet(servers=1) as started:
+            caller = await started.caller()
+            self.assertEqual(404, (await caller.ask("r1", host="other.test")).status)
+            self.assertEqual(404, (await caller.ask("r2", "/other/")).status)
+
+    @asynchronous
+    async def test_a_change_of_routes_is_in_force_at_every_daemon_soon(self):
+        async with fleet(servers=1, gateways=2) as started:
+            await started.server("d0", "dock")
+            moved = config(2, safe=route("safe", backend="dock"))
+            started.store.put("op/config", moved)
+            for number in (0, 1):
+                caller = await started.caller(number)
+
+                async def reached(caller=caller) -> bool:
+                    await caller.ask("r")
+                    return bool(started.servers_by_id["d0"].seen)
+
+                await eventually(reached, 2.0)
+                started.servers_by_id["d0"].seen.clear()
+
+    @asynchronous
+    async def test_a_configuration_that_cannot_be_read_changes_nothing(self):
+        async with fleet(servers=1) as started:
+            started.store.put("op/config", b'{"version": 9, "routes"')
+            started.store.put("op/config", {**config(10), "limits": {}})
+            await asyncio.sleep(0.3)
+            self.assertEqual(200, (await (await started.caller()).ask("r1")).status)
+            self.assertEqual(2, started.gateways[0]._counters.undecodable)
+
+
+class AddressReuseTest(testtools.TestCase):
+    @asynchronous
+    async def test_a_misdirected_request_goes_to_another_server(self):
+        async with fleet(servers=2) as started:
+
+            async def other(seen: Seen, line: Line) -> None:
+                line.answer(seen, 421, signed=False, headers={"Sycamorebay-Instance-Id": "other"})
+
+            started.servers_by_id["s0"].script = other
+            caller = await started.caller()
+            for number in range(6):
+                answer = await caller.ask(f"r{number}", "/unsafe/x", "POST", b"x")
+                self.assertEqual(200, answer.status)
+            self.assertEqual(6, len(started.servers_by_id["s1"].seen))
