--- a/src/sycamorebay/coordination/placing.py
+++ b/src/sycamorebay/coordination/placing.py
@@ -3,8 +3,9 @@
 Answers loads that come near what a service can take, or pass it, while parts of it are slowed by
 their neighbours for fractions of a second. Daemons tell each other within milliseconds what they
 have placed, so each sees nearly the whole load: a request goes to the free server where it is
-expected to end first; where none is free it waits, the most urgent first, as long as it can still
-be answered within its goal, and is refused at once when that is no longer so.
+expected to end first; where none is free, or none fast enough for its goal, it waits, the most
+urgent first. When its goal can no longer be met so, it takes any free server, and is refused at
+once where there is none.
 """
 
 from __future__ import annotations
@@ -29,8 +30,8 @@
 # Daemons that decide at the same moment shouldn't meet at the same server.
 _SCATTER = 0.15
 _FAILURE_COST_S = 1.0
-# Part of the goal in which a request may wait, so that its work still fits.
-_WORK_MARGIN = 1.0
+# Times of work that have to fit between a request's start and its goal; work varies.
+_WORK_MARGIN = 1.25
 _START_SMOOTHING = 0.2
 
 
@@ -278,6 +279,8 @@
         return decisions
 
     def _choose(self, now: float, pool: _Pool, waiting: Waiting) -> ServerLoad | None:
+        """Return the best free server; a slow one only when no time is left to wait for another."""
+        in_goal = self._may_wait_for_fast(now, waiting)
         work_s = self.work.get(waiting.route)
         best, least = None, float("inf")
         for load in pool.loads_by_id.values():
@@ -285,11 +288,16 @@
                 continue
             if load.in_flight(now) >= load.comfortable_slots:
                 continue
+            if in_goal and now + work_s * load.pace(now) > waiting.goal_at:
+                continue
             cost = self._cost(now, load, work_s)
             if cost < least:
                 best, least = load, cost
         return best
 
+    def _may_wait_for_fast(self, now: float, waiting: Waiting) -> bool:
+        return now <= self._start_by(waiting)
+
     def _cost(self, now: float, load: ServerLoad, work_s: float) -> float:
         scatter = 1.0 + _SCATTER * self._rng.random()
         cost = work_s * load.pace(now) * scatter
