Hedge slow safe requests, keep large answers near, read the store with two daemons

Change: a safe request unanswered after 1.5 times its work goes to a second fast server where that still meets the goal, within half of the retry budget; the far cost grows with the answer's size. Ruled out: hedging where requests wait (it takes slots from them).

--- a/bench/emulator/servers.py
+++ b/bench/emulator/servers.py
@@ -37,7 +37,11 @@
         self.running: list[Run] = []
         self.waiting: deque[Run] = deque()
         self.entry = ServerEntry(
-            f"{service.name}-{number}", service.name, f"s:{number}", "abc"[number % 3], service.slots
+            f"{service.name}-{number}",
+            service.name,
+            f"s:{number}",
+            "abc"[number % 3],
+            service.slots,
         )
 
     def pace(self, now: float) -> float:
--- a/src/sycamorebay/coordination/placing.py
+++ b/src/sycamorebay/coordination/placing.py
@@ -27,12 +27,16 @@
 # Costs are expected seconds; these are added to them.
 NEW_CONNECTION_S = 0.004
 FAR_S = 0.003
+# Links between failure domains are slower and cost operators; a large answer had better be near.
+FAR_S_PER_BYTE = 1e-6
 # Daemons that decide at the same moment shouldn't meet at the same server.
 _SCATTER = 0.15
 _FAILURE_COST_S = 1.0
 # Times of work that have to fit between a request's start and its goal; work varies.
 _WORK_MARGIN = 1.25
 _START_SMOOTHING = 0.2
+# By then most work is done; what is not was slowed at its server, or is long wherever it runs.
+HEDGE_AFTER_WORK = 1.5
 
 
 @attrs.define(eq=False)
@@ -91,21 +95,36 @@
 Decision = Place | Wait | TurnAway
 
 
-class WorkTimes:
-    """How long the work of each route takes at the usual pace, in seconds."""
+@attrs.define
+class Work:
+    """What a route's requests take: seconds at the usual pace, and bytes of their answers."""
+
+    seconds: float = DEFAULT_WORK_S
+    answer_bytes: float = 0.0
+
+
+_UNKNOWN_WORK = Work()
+
+
+class WorkTable:
+    """The work of each route, learnt from answers."""
 
     def __init__(self) -> None:
-        self._by_route: dict[str, float] = {}
+        self._by_route: dict[str, Work] = {}
 
-    def on_answer(self, route: str, seconds: float, pace: float) -> None:
-        """Take an answer's time and the pace of its server."""
+    def on_answer(self, route: str, seconds: float, pace: float, answer_bytes: int = 0) -> None:
+        """Take an answer's time, the pace of its server, and its size."""
         usual = seconds / max(1.0, pace)
-        known = self._by_route.get(route, usual)
-        self._by_route[route] = known + _WORK_SMOOTHING * (usual - known)
+        work = self._by_route.get(route)
+        if work is None:
+            self._by_route[route] = Work(usual, answer_bytes)
+            return
+        work.seconds += _WORK_SMOOTHING * (usual - work.seconds)
+        work.answer_bytes += _WORK_SMOOTHING * (answer_bytes - work.answer_bytes)
 
-    def get(self, route: str) -> float:
-        """Return the expected time, in seconds."""
-        return self._by_route.get(route, DEFAULT_WORK_S)
+    def get(self, route: str) -> Work:
+        """Return what is expected of a route's next request."""
+        return self._by_route.get(route, _UNKNOWN_WORK)
 
 
 class _Pool:
@@ -150,7 +169,7 @@
         self._connected = connected
         self._pools_by_service: dict[str, _Pool] = {}
         self._pool_by_server: dict[str, _Pool] = {}
-        self.work = WorkTimes()
+        self.work = WorkTable()
 
     # Servers
 
@@ -214,7 +233,7 @@
         if not any(load.usable(now) for load in pool.loads_by_id.values()):
             return self._turn_away(pool, waiting, "no backend server of the service is usable")
         if not any(other.priority <= waiting.priority for other in pool.queue):
-            chosen = self._choose(now, pool, waiting)
+            chosen = self._choose(now, pool, waiting, self._may_wait_for_fast(now, waiting))
             if chosen is not None:
                 return self._place(now, pool, waiting, chosen)
         ahead = sum(1 for other in pool.queue if other.priority <= waiting.priority)
@@ -224,6 +243,20 @@
         pool.queue.sort(key=lambda other: (other.priority, other.id))
         return Wait(waiting.id)
 
+    def hedge_at(self, waiting: Waiting, sent_at: float) -> float | None:
+        """Return when a second send of a safe request becomes worth its work, or None for never."""
+        work_s = self.work.get(waiting.route).seconds
+        at = sent_at + HEDGE_AFTER_WORK * work_s
+        return at if at + work_s <= waiting.goal_at else None
+
+    def on_hedge(self, now: float, waiting: Waiting) -> Place | None:
+        """Place a second send of a request where it still meets its goal, or nowhere."""
+        pool = self._pool(waiting.service)
+        if pool.queue:
+            return None
+        chosen = self._choose(now, pool, waiting, in_goal=True)
+        return None if chosen is None else self._place(now, pool, waiting, chosen)
+
     def on_end(self, now: float, server_id: str) -> list[Decision]:
         """Free a slot; return what goes into it."""
         load = self.load(server_id)
@@ -265,7 +298,8 @@
         left: list[Waiting] = []
         full = False
         for waiting in pool.queue:
-            chosen = None if full else self._choose(now, pool, waiting)
+            in_goal = self._may_wait_for_fast(now, waiting)
+            chosen = None if full else self._choose(now, pool, waiting, in_goal)
             if chosen is not None:
                 pool.on_start(now)
                 decisions.append(self._place(now, pool, waiting, chosen))
@@ -278,32 +312,34 @@
         pool.queue = left
         return decisions
 
-    def _choose(self, now: float, pool: _Pool, waiting: Waiting) -> ServerLoad | None:
-        """Return the best free server; a slow one only when no time is left to wait for another."""
-        in_goal = self._may_wait_for_fast(now, waiting)
-        work_s = self.work.get(waiting.route)
+    def _choose(
+        self, now: float, pool: _Pool, waiting: Waiting, in_goal: bool
+    ) -> ServerLoad | None:
+        """Return the best free server, or of those that meet the goal."""
+        work = self.work.get(waiting.route)
         best, least = None, float("inf")
         for load in pool.loads_by_id.values():
             if not load.usable(now) or load.entry.id in waiting.tried:
                 continue
             if load.in_flight(now) >= load.comfortable_slots:
                 continue
-            if in_goal and now + work_s * load.pace(now) > waiting.goal_at:
+            if in_goal and now + work.seconds * load.pace(now) > waiting.goal_at:
                 continue
-            cost = self._cost(now, load, work_s)
+            cost = self._cost(now, load, work)
             if cost < least:
                 best, least = load, cost
         return best
 
     def _may_wait_for_fast(self, now: float, waiting: Waiting) -> bool:
+        """Whether there is time to wait for a server that meets the goal."""
         return now <= self._start_by(waiting)
 
-    def _cost(self, now: float, load: ServerLoad, work_s: float) -> float:
+    def _cost(self, now: float, load: ServerLoad, work: Work) -> float:
         scatter = 1.0 + _SCATTER * self._rng.random()
-        cost = work_s * load.pace(now) * scatter
+        cost = work.seconds * load.pace(now) * scatter
         cost += load.failure_rate * _FAILURE_COST_S
         if load.entry.failure_domain != self._failure_domain:
-            cost += FAR_S
+            cost += FAR_S + FAR_S_PER_BYTE * work.answer_bytes
         if not self._connected(load.entry.id):
             cost += NEW_CONNECTION_S
         return cost
@@ -314,7 +350,7 @@
         return Place(waiting.id, load.entry)
 
     def _start_by(self, waiting: Waiting) -> float:
-        work_s = self.work.get(waiting.route) * _WORK_MARGIN
+        work_s = self.work.get(waiting.route).seconds * _WORK_MARGIN
         return min(waiting.goal_at, waiting.deadline) - work_s
 
     def _turn_away(self, pool: _Pool, waiting: Waiting, reason: str) -> TurnAway:
--- a/src/sycamorebay/coordination/readers.py
+++ b/src/sycamorebay/coordination/readers.py
@@ -12,8 +12,8 @@
 
 import attrs
 
-# Three, so that one may be cut off and one killed at the same time.
-READERS = 3
+# Two, in different failure domains; where both fail at once, daemons read for themselves.
+READERS = 2
 # A reader confirms each second; a daemon that misses that has half a second to read itself
 # and stays within a bound of two seconds.
 STALE_S = 1.3
--- a/src/sycamorebay/coordination/retry_budget.py
+++ b/src/sycamorebay/coordination/retry_budget.py
@@ -43,7 +43,7 @@
         self._forget(now)
         self._requests.append(now)
 
-    def take(self, now: float, daemons: int) -> bool:
+    def take(self, now: float, daemons: int, share: float = 1.0) -> bool:
         """Take one repeat out of the budget; False where none is left.
 
         Parameters
@@ -52,11 +52,13 @@
             In seconds.
         daemons : int
             Daemons that share the slack.
+        share : float
+            Part of the budget that this kind of repeat may use up.
         """
         self._forget(now)
         bounds = self._bounds
         allowed = bounds.ratio * len(self._requests) + bounds.slack / max(1, daemons)
-        if len(self._repeats) + 1 > _USED_SHARE * allowed:
+        if len(self._repeats) + 1 > _USED_SHARE * share * allowed:
             return False
         self._repeats.append(now)
         return True
--- a/src/sycamorebay/transport/gateway/counters.py
+++ b/src/sycamorebay/transport/gateway/counters.py
@@ -32,6 +32,7 @@
     def __init__(self) -> None:
         self.requests = 0
         self.sends = 0
+        self.hedges = 0
         self.budget_empty = 0
         self.probes = 0
         self.store_calls = 0
--- a/src/sycamorebay/transport/gateway/exposition.py
+++ b/src/sycamorebay/transport/gateway/exposition.py
@@ -20,6 +20,7 @@
 _COUNTERS = {
     "requests": "Requests taken.",
     "sends": "Sends to backend servers.",
+    "hedges": "Second sends of requests that took long.",
     "budget_empty": "Requests not sent again since the retry budget was used up.",
     "probes": "Probes of backend servers.",
     "store_calls": "Calls to the store.",
--- a/src/sycamorebay/transport/gateway/forward.py
+++ b/src/sycamorebay/transport/gateway/forward.py
@@ -6,7 +6,7 @@
 import contextlib
 import enum
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
 from itertools import count
 
 import attrs
@@ -32,6 +32,8 @@
 
 # Sends that reached no backend server don't count as attempts, but they end some time.
 MAX_UNSENT = 4
+# Part of the retry budget that hedges may use; the rest is for requests that failed.
+HEDGE_SHARE = 0.5
 # Below this a send can't be answered any more.
 MIN_TIME_LEFT_S = 0.005
 _HOP_BY_HOP = frozenset(
@@ -70,6 +72,7 @@
     result: Result
     answer: ClientAnswer | None = None
     reason: str = ""
+    server_id: str = ""
 
 
 @attrs.define(eq=False)
@@ -216,12 +219,11 @@
             if isinstance(decision, TurnAway):
                 return self._turned_away(exchange, decision)
             assert isinstance(decision, Place)
-            sent = await self._send(exchange, decision.server)
-            self._log_send(exchange, decision.server, sent)
+            sent = await self._send_or_hedge(exchange, decision.server)
             if sent.result is Result.DELIVER:
                 assert sent.answer is not None
                 return self._delivered(exchange, sent.answer)
-            refusal = self._after(exchange, decision.server, sent)
+            refusal = self._after(exchange, sent)
             if refusal is not None:
                 if sent.answer is not None and sent.result is Result.FAILED_STATUS:
                     return self._delivered(exchange, sent.answer)
@@ -246,13 +248,13 @@
         finally:
             del self._waiters_by_id[exchange.id]
 
-    def _after(self, exchange: Exchange, server: ServerEntry, sent: Sent) -> Refusal | None:
+    def _after(self, exchange: Exchange, sent: Sent) -> Refusal | None:
         """Return None where the request may be sent again, else its refusal."""
         unknown = exchange.may_have_run
         outcome = Unknown if unknown else NotRun
-        refusal = outcome("send", server.id, sent.reason or sent.result.value)
+        refusal = outcome("send", sent.server_id, sent.reason or sent.result.value)
         if sent.result is Result.OUT_OF_TIME:
-            return Unknown("send", server.id, "the time is up", 504) if unknown else refusal
+            return Unknown("send", sent.server_id, "the time is up", 504) if unknown else refusal
         if unknown and not exchange.route.kind.idempotent:
             return refusal
         if exchange.unsent >= MAX_UNSENT:
@@ -273,9 +275,38 @@
             budget = self._budgets_by_service[service] = RetryBudget(self._bounds)
         return budget
 
+    async def _send_or_hedge(self, exchange: Exchange, server: ServerEntry) -> Sent:
+        """Send; where a safe request takes long, send it to a second server too."""
+        loop = asyncio.get_running_loop()
+        hedge_at = self._placer.hedge_at(exchange.waiting, loop.time())
+        if hedge_at is None or not exchange.route.kind.idempotent:
+            return await self._send(exchange, server)
+        async with _cancelled_at_exit() as sends:
+            first = loop.create_task(self._send(exchange, server))
+            sends.append(first)
+            await asyncio.wait([first], timeout=hedge_at - loop.time())
+            if not first.done():
+                place = self._hedge(exchange)
+                if place is not None:
+                    sends.append(loop.create_task(self._send(exchange, place.server)))
+            return await _first_delivered(sends)
+
+    def _hedge(self, exchange: Exchange) -> Place | None:
+        now = asyncio.get_running_loop().time()
+        if exchange.sends >= exchange.route.attempts:
+            return None
+        if not self._budget(exchange.service).take(now, self._daemons(), HEDGE_SHARE):
+            return None
+        place = self._placer.on_hedge(now, exchange.waiting)
+        if place is not None:
+            self._counters.hedges += 1
+        return place
+
     async def _send(self, exchange: Exchange, server: ServerEntry) -> Sent:
         with self._slot(server.id):
-            return await self._send_in_slot(exchange, server)
+            sent = await self._send_in_slot(exchange, server)
+        self._log_send(exchange, server, sent)
+        return attrs.evolve(sent, server_id=server.id)
 
     @contextlib.contextmanager
     def _slot(self, server_id: str) -> Iterator[None]:
@@ -337,7 +368,7 @@
         if sent.result in (Result.NOT_RUN, Result.MISDIRECTED):
             exchange.may_have_run = ran_before
         if sent.result is Result.DELIVER:
-            self._learn(exchange, server, loop.time() - started)
+            self._learn(exchange, server, loop.time() - started, len(answer.body))
         return sent
 
     def _head(self, exchange: Exchange, server: ServerEntry, left_s: float) -> bytes:
@@ -387,10 +418,12 @@
             # The request that is answered has left the server already.
             self._placer.on_report(asyncio.get_running_loop().time(), server.id, marks.report)
 
-    def _learn(self, exchange: Exchange, server: ServerEntry, seconds: float) -> None:
+    def _learn(
+        self, exchange: Exchange, server: ServerEntry, seconds: float, answer_bytes: int
+    ) -> None:
         load = self._placer.load(server.id)
         pace = load.report.pace if load is not None and load.report is not None else 1.0
-        self._placer.work.on_answer(exchange.route.name, seconds, pace)
+        self._placer.work.on_answer(exchange.route.name, seconds, pace, answer_bytes)
         self._counters.backend.observe(seconds)
 
     def _on_failure(self, server: ServerEntry) -> None:
@@ -456,6 +489,7 @@
             send=exchange.sends,
             result=sent.result.value,
             reason=sent.reason,
+            deadline_ms=round((exchange.deadline - exchange.request.arrived) * 1000),
             since_arrival_ms=round((now - exchange.request.arrived) * 1000, 1),
             in_flight=load.in_flight(now) if load else None,
             pace=round(load.pace(now), 2) if load else None,
@@ -463,6 +497,29 @@
         )
 
 
+@contextlib.asynccontextmanager
+async def _cancelled_at_exit() -> AsyncIterator[list[asyncio.Task[Sent]]]:
+    """Yield a list of sends, and end those that still run."""
+    sends: list[asyncio.Task[Sent]] = []
+    try:
+        yield sends
+    finally:
+        for send in sends:
+            send.cancel()
+        await asyncio.gather(*sends, return_exceptions=True)
+
+
+async def _first_delivered(sends: list[asyncio.Task[Sent]]) -> Sent:
+    """Return the first send that brought an answer to deliver, else the last that ended."""
+    pending: set[asyncio.Task[Sent]] = set(sends)
+    while True:
+        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        for send in done:
+            sent = send.result()
+            if sent.result is Result.DELIVER or not pending:
+                return sent
+
+
 def _answer_fault(answer: ClientAnswer, marks: AnswerMarks) -> str:
     """Return why an answer can't be passed on, or nothing."""
     if not 200 <= answer.status <= 599:
