--- a/bench/demo.py
+++ b/bench/demo.py
@@ -58,7 +58,7 @@
     await fleet.control_backend("lot-desk-4", frozen=False)
 
 
-def print_report(report: Report, added: list[str], runs_by_key: Counter[str]) -> None:
+def print_report(report: Report, runs_by_key: Counter[str]) -> None:
     """Print what callers saw as a table."""
     print(f"{'kind':<18}{'served':>8}{'p50 ms':>10}{'p99 ms':>10}{'p99.9 ms':>10}")
     for name, histogram in report.latency_by_kind.items():
@@ -70,25 +70,6 @@
     twice = sum(1 for runs in runs_by_key.values() if runs > 1)
     print(f"\noperations run twice: {twice}")
     print(f"load tool late (p99): {report.late_ms():.1f} ms")
-    print("\n".join(added))
-
-
-async def added_time(fleet: Fleet) -> list[str]:
-    """Return lines on the time that the entries added."""
-    counts: Counter[str] = Counter()
-    for index in range(ENTRIES):
-        if fleet.processes_by_name[f"entry-{index}"].poll() is not None:
-            continue
-        _, text = await fleet.operator(index, "/metrics")
-        for line in text.splitlines():
-            if line.startswith("sycamorebay_added_seconds_bucket"):
-                bound = line.split('le="')[1].split('"')[0]
-                counts[bound] += int(float(line.rsplit(" ", 1)[1]))
-    total = counts["+Inf"] or 1
-    shares = [(bound, counts[bound] / total) for bound in ("0.00062", "0.001", "0.002", "0.005")]
-    return ["time added by entries:"] + [
-        f"  within {float(bound) * 1000:.2f} ms: {share:.1%}" for bound, share in shares
-    ]
 
 
 def hardly_served(report: Report) -> list[str]:
@@ -112,7 +93,7 @@
         runs_by_key: Counter[str] = Counter()
         for one in counted.values():
             runs_by_key.update(one["runs_by_key"])
-        print_report(load.report, await added_time(fleet), runs_by_key)
+        print_report(load.report, runs_by_key)
         broken = broken_promises(load.report, runs_by_key) + hardly_served(load.report)
     for line in broken:
         print(f"BROKEN: {line}")
--- a/src/sycamorebay/platform/boot.py
+++ b/src/sycamorebay/platform/boot.py
@@ -8,7 +8,7 @@
 
 from sycamorebay.coordination.retry_budget import RetryBounds
 from sycamorebay.errors import SettingsError
-from sycamorebay.platform.values import ValueFault, number, seconds, table, text, whole
+from sycamorebay.platform.values import ValueFault, number, seconds, table, text
 from sycamorebay.state.faults import Fault
 from sycamorebay.transport.gateway.settings import GatewaySettings
 
@@ -62,8 +62,6 @@
             window_s=take(seconds, parameters, "retry_window"),
         ),
         stop_s=take(seconds, parameters, "grace"),
-        probes_per_s=float(parameters.get("probes_per_s", 0) or 0),
-        max_descriptors=take(whole, found.get("limits") or {}, "max_fds"),
     )
     store = str(take(text, provider, "addr"))
     if faults:
--- a/src/sycamorebay/transport/front.py
+++ b/src/sycamorebay/transport/front.py
@@ -15,8 +15,8 @@
 from sycamorebay.protocol.headers import Headers
 from sycamorebay.settings import CallerLimits, Listen
 from sycamorebay.transport.caller_protocol import CONNECTION, CallerProtocol, Listener
-from sycamorebay.transport.forward import ForwardedBody, Forwarder, OutgoingAnswer
-from sycamorebay.transport.operate import StartedBody
+from sycamorebay.transport.exchange import ForwardedBody, OutgoingAnswer, StartedBody
+from sycamorebay.transport.forward import Forwarder
 from sycamorebay.transport.upstream import CallerBodyError, CutOffError
 
 _log = log.part("front")
--- a/src/sycamorebay/transport/gateway/client.py
+++ b/src/sycamorebay/transport/gateway/client.py
@@ -54,13 +54,7 @@
 
 
 class Connection(asyncio.Protocol):
-    """One connection; carries one request at a time.
-
-    Parameters
-    ----------
-    accepts : callable, optional
-        Told an answer's status and headers; False drops that answer and waits for the next.
-    """
+    """One connection; carries one request at a time."""
 
     def __init__(self) -> None:
         self._transport: asyncio.Transport | None = None
@@ -87,6 +81,15 @@
 
         Cancelling this closes the connection.
 
+        Parameters
+        ----------
+        head, body : bytes
+            The request.
+        accepts : callable
+            Told an answer's status and headers; False drops that answer and waits for the next.
+        bodiless : bool
+            Whether the answer has no body whatever its headers say, as to HEAD.
+
         Raises
         ------
         ConnectError
--- a/src/sycamorebay/transport/gateway/settings.py
+++ b/src/sycamorebay/transport/gateway/settings.py
@@ -28,10 +28,6 @@
         What the fleet may send again.
     stop_s : float
         Time between SIGTERM and SIGKILL, in seconds.
-    probes_per_s : float
-        Probes that one backend server may get of the whole fleet a second.
-    max_descriptors : int
-        Open files and sockets that this process may have.
     """
 
     name: str
@@ -44,8 +40,6 @@
     seeds: tuple[str, ...]
     retries: RetryBounds
     stop_s: float
-    probes_per_s: float
-    max_descriptors: int
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/src/sycamorebay/transport/operate.py
+++ b/src/sycamorebay/transport/operate.py
@@ -7,8 +7,7 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable
-from typing import TYPE_CHECKING
+from collections.abc import Awaitable, Callable
 
 import attrs
 import xxhash
@@ -27,12 +26,15 @@
 from sycamorebay.protocol import headers as names
 from sycamorebay.protocol.headers import header_value
 from sycamorebay.state.operations import KeptAnswer, OperationKey
+from sycamorebay.transport.exchange import (
+    Exchange,
+    ForwardedBody,
+    OutgoingAnswer,
+    StartedBody,
+)
 from sycamorebay.transport.inquire import Inquirer
 from sycamorebay.transport.upstream import CutOffError
 
-if TYPE_CHECKING:
-    from sycamorebay.transport.forward import Exchange, ForwardedBody, OutgoingAnswer
-
 MAX_KEPT_ANSWER_BYTES = 16_384
 
 _log = log.part("operations")
@@ -184,51 +186,6 @@
             body.close()
 
 
-class StartedBody:
-    """A `ForwardedBody` whose start has been read.
-
-    Parameters
-    ----------
-    start : bytes
-        What was read.
-    chunks : async iterator of bytes
-        The rest.
-    body : ForwardedBody
-        Whose rest it is.
-    """
-
-    def __init__(
-        self, start: bytes, chunks: AsyncIterator[bytes], body: ForwardedBody | StartedBody
-    ) -> None:
-        self.deadline: float = body.deadline
-        self._start = start
-        self._chunks = chunks
-        self._body = body
-        self._started = False
-
-    async def __aiter__(self) -> AsyncIterator[bytes]:
-        self._started = True
-        yield self._start
-        async for chunk in self._chunks:
-            yield chunk
-
-    def ended(self) -> bool:
-        """Whether the body was read whole."""
-        return self._started and self._body.ended()
-
-    def whole(self) -> bytes | None:
-        """Return None: a started body is read to its end."""
-        return None
-
-    def on_cut_off(self, reason: str) -> None:
-        """Take the early end of the body."""
-        self._body.on_cut_off(reason)
-
-    def close(self) -> None:
-        """Free the slot and the connection; more than once does no harm."""
-        self._body.close()
-
-
 async def _read_start(
     body: ForwardedBody | StartedBody, now: float
 ) -> tuple[bytes, StartedBody | None]:
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -159,8 +159,6 @@
             "seeds": tuple(one.datagrams for one in self.settings),
             "retries": RetryBounds(0.2, 20, 10.0),
             "stop_s": 2.0,
-            "probes_per_s": 60.0,
-            "max_descriptors": 4096,
         }
         settings = GatewaySettings(**{**found, **changes})
         reader, writer = os.pipe()
