Split the gateway's forwarding and its peers by job

Sending one request and judging what came back (sending.py) is apart from routing, placing and repeating it; a peer's types and the text of directories have modules of their own. Unread fields are gone. Behaviour is as before.

--- a/src/sycamorebay/coordination/placing.py
+++ b/src/sycamorebay/coordination/placing.py
@@ -78,7 +78,7 @@
 
 @attrs.frozen
 class Wait:
-    """Wait for a `Place` or `Turn away` of `Placer.on_tick`."""
+    """Wait for a `Place` or `TurnAway` of `Placer.on_tick`."""
 
     request_id: int
 
@@ -134,7 +134,6 @@
         self.mean_pace = MeanPace()
         self.loads_by_id: dict[str, ServerLoad] = {}
         self.queue: list[Waiting] = []
-        self.queued_by_peer: dict[str, int] = {}
         self.start_gap_s = 0.0
         self.started_at = 0.0
 
@@ -277,10 +276,6 @@
             decisions += self._pump(now, pool)
         return decisions
 
-    def queued_by_service(self) -> dict[str, int]:
-        """Return how many requests wait for each service."""
-        return {name: len(pool.queue) for name, pool in self._pools_by_service.items()}
-
     def is_waiting(self) -> bool:
         """Whether any request waits."""
         return any(pool.queue for pool in self._pools_by_service.values())
--- a/src/sycamorebay/coordination/server_load.py
+++ b/src/sycamorebay/coordination/server_load.py
@@ -75,7 +75,6 @@
     strikes: int = 0
     suspended_until: float = float("-inf")
     warm_at: float = float("-inf")
-    connected: bool = False
     _others_at_report: int = 0
 
     @property
--- a/src/sycamorebay/transport/gateway/following.py
+++ b/src/sycamorebay/transport/gateway/following.py
@@ -14,9 +14,11 @@
 from sycamorebay.coordination.pace import Backoff
 from sycamorebay.coordination.readers import Candidate, ReaderChoice
 from sycamorebay.errors import PlatformError
+from sycamorebay.protocol.directories import read_directory
 from sycamorebay.state.stored import Listing, Stored
 from sycamorebay.transport.gateway.client import AnswerError, ConnectError, Pool, request_head
-from sycamorebay.transport.gateway.peers import Peer, Peers, read_directory
+from sycamorebay.transport.gateway.peer import Peer
+from sycamorebay.transport.gateway.peers import Peers
 
 # A reader's watch ends after this, so that the others know that it still hears the store.
 WATCH_S = 1.0
--- a/src/sycamorebay/transport/gateway/forward.py
+++ b/src/sycamorebay/transport/gateway/forward.py
@@ -4,103 +4,38 @@
 
 import asyncio
 import contextlib
-import enum
 import random
 from collections.abc import AsyncIterator, Callable, Iterator
 from itertools import count
 
-import attrs
-
 from sycamorebay import log
 from sycamorebay.coordination.placing import Decision, Place, Placer, TurnAway, Wait, Waiting
 from sycamorebay.coordination.retry_budget import RetryBounds, RetryBudget
 from sycamorebay.coordination.splitting import Splitter
 from sycamorebay.outcomes import NotRun, Refusal, Unknown
-from sycamorebay.protocol.dialect import AnswerMarks, Dialect, RawHeaders
+from sycamorebay.protocol.dialect import Dialect
 from sycamorebay.protocol.problem import problem_body, problem_headers
 from sycamorebay.state.routing import Kind, Route, RoutingTable
 from sycamorebay.state.server_entries import ServerEntry
-from sycamorebay.transport.gateway.client import (
-    AnswerError,
-    ClientAnswer,
-    ConnectError,
-    Pool,
-    request_head,
-)
+from sycamorebay.transport.gateway.client import ClientAnswer, Pool
 from sycamorebay.transport.gateway.counters import Counters
 from sycamorebay.transport.gateway.listener import CallerAnswer, CallerRequest
+from sycamorebay.transport.gateway.sending import (
+    HOP_BY_HOP,
+    MIN_TIME_LEFT_S,
+    Exchange,
+    Result,
+    Sender,
+    Sent,
+)
 
 # Sends that reached no backend server don't count as attempts, but they end some time.
 MAX_UNSENT = 4
 # Part of the retry budget that hedges may use; the rest is for requests that failed.
 HEDGE_SHARE = 0.5
-# Below this a send can't be answered any more.
-MIN_TIME_LEFT_S = 0.005
-_HOP_BY_HOP = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"expect",
-        b"content-length",
-    }
-)
-
 _log = log.part("forward")
 
 
-class Result(enum.Enum):
-    """How one send ended."""
-
-    DELIVER = "deliver"
-    FAILED_STATUS = "failed status"
-    NOT_RUN = "not run"
-    NOT_SENT = "not sent"
-    MISDIRECTED = "misdirected"
-    MAY_HAVE_RUN = "may have run"
-    OUT_OF_TIME = "out of time"
-
-
-@attrs.frozen
-class Sent:
-    """One send's end, its answer where there is one, and the reason where there is none."""
-
-    result: Result
-    answer: ClientAnswer | None = None
-    reason: str = ""
-    server_id: str = ""
-
-
-@attrs.define(eq=False)
-class Exchange:
-    """State of one request.
-
-    Attributes
-    ----------
-    sends : int
-        Sends that reached a backend server.
-    unsent : int
-        Sends that reached none.
-    may_have_run : bool
-        Whether any backend server may have run it.
-    """
-
-    id: int
-    request: CallerRequest
-    request_id: str
-    route: Route
-    service: str
-    deadline: float
-    waiting: Waiting
-    sends: int = 0
-    unsent: int = 0
-    may_have_run: bool = False
-
-
 class Forwarder:
     """Forwards requests by the routes in force.
 
@@ -118,6 +53,8 @@
         How many daemons share that.
     counters : Counters
         Counts what happens.
+    on_seen : callable
+        Told a server's id, and whether it failed, for the other daemons.
     """
 
     def __init__(
@@ -128,9 +65,9 @@
         bounds: RetryBounds,
         daemons: Callable[[], int],
         counters: Counters,
+        on_seen: Callable[[str, bool], None],
     ) -> None:
         self._placer = placer
-        self._pool = pool
         self._dialect = dialect
         self._bounds = bounds
         self._daemons = daemons
@@ -140,7 +77,8 @@
         self._waiters_by_id: dict[int, asyncio.Future[Decision]] = {}
         self._ids = count(1)
         self.routing: RoutingTable | None = None
-        self.on_seen: Callable[[str, bool], None] = lambda _server, _failed: None
+        self._on_seen = on_seen
+        self._sender = Sender(placer, pool, dialect, counters, self._on_first_send, on_seen)
 
     def on_routing(self, routing: RoutingTable) -> None:
         """Put a configuration in force for every request that comes after."""
@@ -211,7 +149,8 @@
             goal_at=request.arrived + route.goal_s,
             deadline=deadline,
         )
-        return Exchange(number, request, request_id, route, service, deadline, waiting)
+        version = self.routing.version if self.routing is not None else 0
+        return Exchange(number, request, request_id, version, route, service, deadline, waiting)
 
     async def _run(self, exchange: Exchange) -> CallerAnswer:
         while True:
@@ -275,6 +214,9 @@
             budget = self._budgets_by_service[service] = RetryBudget(self._bounds)
         return budget
 
+    def _on_first_send(self, service: str) -> None:
+        self._budget(service).on_request(asyncio.get_running_loop().time())
+
     async def _send_or_hedge(self, exchange: Exchange, server: ServerEntry) -> Sent:
         """Send; where a safe request takes long, send it to a second server too."""
         loop = asyncio.get_running_loop()
@@ -304,13 +246,11 @@
 
     async def _send(self, exchange: Exchange, server: ServerEntry) -> Sent:
         with self._slot(server.id):
-            sent = await self._send_in_slot(exchange, server)
-        self._log_send(exchange, server, sent)
-        return attrs.evolve(sent, server_id=server.id)
+            return await self._sender.send(exchange, server)
 
     @contextlib.contextmanager
     def _slot(self, server_id: str) -> Iterator[None]:
-        self.on_seen(server_id, False)
+        self._on_seen(server_id, False)
         try:
             yield
         finally:
@@ -319,137 +259,14 @@
     def _end(self, server_id: str) -> None:
         now = asyncio.get_running_loop().time()
         self.on_decisions(self._placer.on_end(now, server_id))
-        self.on_seen(server_id, False)
-
-    async def _send_in_slot(self, exchange: Exchange, server: ServerEntry) -> Sent:
-        loop = asyncio.get_running_loop()
-        try:
-            connection = await self._pool.take(server.address)
-        except ConnectError as error:
-            exchange.unsent += 1
-            self._on_failure(server)
-            return Sent(Result.NOT_SENT, reason=str(error))
-        left_s = exchange.deadline - loop.time()
-        if left_s < MIN_TIME_LEFT_S:
-            self._pool.give_back(server.address, connection)
-            return Sent(Result.OUT_OF_TIME)
-        if not connection.open:
-            exchange.unsent += 1
-            return Sent(Result.NOT_SENT, reason="the connection was closed")
-        head = self._head(exchange, server, left_s)
-        self._counters.sends += 1
-        if exchange.sends == 0:
-            self._budget(exchange.service).on_request(loop.time())
-        exchange.sends += 1
-        exchange.may_have_run, ran_before = True, exchange.may_have_run
-        started = loop.time()
-        try:
-            answer = await connection.ask(
-                head,
-                exchange.request.body,
-                lambda status, headers: self._is_own(exchange, status, headers),
-                exchange.request.method == "HEAD",
-            )
-        except ConnectError as error:
-            exchange.sends -= 1
-            exchange.unsent += 1
-            exchange.may_have_run = ran_before
-            return Sent(Result.NOT_SENT, reason=str(error))
-        except AnswerError as error:
-            self._on_failure(server)
-            return Sent(Result.MAY_HAVE_RUN, reason=str(error))
-        except asyncio.CancelledError:
-            self._on_cancelled(exchange, server, loop.time() - started)
-            raise
-        marks = self._dialect.read_answer(answer.status, answer.headers)
-        self._take_report(server, marks)
-        self._pool.give_back(server.address, connection)
-        sent = self._judge(exchange, server, answer, marks)
-        if sent.result in (Result.NOT_RUN, Result.MISDIRECTED):
-            exchange.may_have_run = ran_before
-        if sent.result is Result.DELIVER:
-            self._learn(exchange, server, loop.time() - started, len(answer.body))
-        return sent
-
-    def _head(self, exchange: Exchange, server: ServerEntry, left_s: float) -> bytes:
-        request = exchange.request
-        headers = [pair for pair in request.headers if pair[0] not in _HOP_BY_HOP]
-        headers = self._dialect.mark_request(headers, server.id, left_s)
-        if request.body or request.method in ("POST", "PUT", "PATCH"):
-            headers.append((b"content-length", b"%d" % len(request.body)))
-        return request_head(request.method, request.target, headers)
-
-    def _is_own(self, exchange: Exchange, status: int, headers: RawHeaders) -> bool:
-        """Whether an answer belongs to this request, or to one before it on the connection."""
-        answered = self._dialect.read_answer(status, headers).request_id
-        if answered and answered != exchange.request_id:
-            _log.warning(
-                "answer of another request dropped",
-                request_id=exchange.request_id,
-                answered=answered,
-            )
-            return False
-        return True
-
-    def _judge(
-        self, exchange: Exchange, server: ServerEntry, answer: ClientAnswer, marks: AnswerMarks
-    ) -> Sent:
-        if marks.not_run and answer.status == 421:
-            self._on_failure(server)
-            return Sent(Result.MISDIRECTED, reason="another server has the address")
-        if marks.not_run:
-            self._on_shed(server)
-            return Sent(Result.NOT_RUN, reason="the backend server shed the request")
-        fault = _answer_fault(answer, marks)
-        if fault:
-            self._on_failure(server)
-            return Sent(Result.MAY_HAVE_RUN, reason=fault)
-        if answer.status >= 500:
-            self._on_failure(server)
-            return Sent(Result.FAILED_STATUS, answer, f"status {answer.status}")
-        self.on_seen(server.id, False)
-        load = self._placer.load(server.id)
-        if load is not None:
-            load.on_success()
-        return Sent(Result.DELIVER, answer)
-
-    def _take_report(self, server: ServerEntry, marks: AnswerMarks) -> None:
-        if marks.report is not None:
-            # The request that is answered has left the server already.
-            self._placer.on_report(asyncio.get_running_loop().time(), server.id, marks.report)
-
-    def _learn(
-        self, exchange: Exchange, server: ServerEntry, seconds: float, answer_bytes: int
-    ) -> None:
-        load = self._placer.load(server.id)
-        pace = load.report.pace if load is not None and load.report is not None else 1.0
-        self._placer.work.on_answer(exchange.route.name, seconds, pace, answer_bytes)
-        self._counters.backend.observe(seconds)
-
-    def _on_failure(self, server: ServerEntry) -> None:
-        load = self._placer.load(server.id)
-        if load is not None:
-            load.on_failure(asyncio.get_running_loop().time())
-        self._pool.drop(server.address)
-        self.on_seen(server.id, True)
-
-    def _on_shed(self, server: ServerEntry) -> None:
-        load = self._placer.load(server.id)
-        if load is not None:
-            load.on_shed(asyncio.get_running_loop().time())
-
-    def _on_cancelled(self, exchange: Exchange, server: ServerEntry, seconds: float) -> None:
-        """Take a caller's leaving, or the deadline; a server that was silent to it is suspect."""
-        now = asyncio.get_running_loop().time()
-        if now >= exchange.deadline:
-            self._on_failure(server)
+        self._on_seen(server_id, False)
 
     # Answers
 
     def _delivered(self, exchange: Exchange, answer: ClientAnswer) -> CallerAnswer:
         seconds = asyncio.get_running_loop().time() - exchange.request.arrived
         self._counters.answered.observe(seconds)
-        headers = [pair for pair in answer.headers if pair[0] not in _HOP_BY_HOP]
+        headers = [pair for pair in answer.headers if pair[0] not in HOP_BY_HOP]
         return CallerAnswer(answer.status, headers, answer.body)
 
     def _turned_away(self, exchange: Exchange, decision: TurnAway) -> CallerAnswer:
@@ -477,25 +294,6 @@
         headers = [(name.encode(), value.encode()) for name, value in pairs]
         return CallerAnswer(refusal.status, headers, problem_body(refusal, request_id))
 
-    def _log_send(self, exchange: Exchange, server: ServerEntry, sent: Sent) -> None:
-        now = asyncio.get_running_loop().time()
-        load = self._placer.load(server.id)
-        _log.info(
-            "request sent",
-            request_id=exchange.request_id,
-            route=exchange.route.name,
-            version=self.routing.version if self.routing else 0,
-            server=server.id,
-            send=exchange.sends,
-            result=sent.result.value,
-            reason=sent.reason,
-            deadline_ms=round((exchange.deadline - exchange.request.arrived) * 1000),
-            since_arrival_ms=round((now - exchange.request.arrived) * 1000, 1),
-            in_flight=load.in_flight(now) if load else None,
-            pace=round(load.pace(now), 2) if load else None,
-            report_age_ms=round(min(99.0, now - load.reported_at) * 1000) if load else None,
-        )
-
 
 @contextlib.asynccontextmanager
 async def _cancelled_at_exit() -> AsyncIterator[list[asyncio.Task[Sent]]]:
@@ -518,18 +316,3 @@
             sent = send.result()
             if sent.result is Result.DELIVER or not pending:
                 return sent
-
-
-def _answer_fault(answer: ClientAnswer, marks: AnswerMarks) -> str:
-    """Return why an answer can't be passed on, or nothing."""
-    if not 200 <= answer.status <= 599:
-        return f"the answer's status {answer.status} is not usable"
-    if answer.status < 300 and not marks.signed:
-        return "the answer is not marked as the server's own"
-    if answer.status < 300 and not marks.request_id:
-        return "the answer doesn't name its request"
-    if any(name == b"content-encoding" for name, _ in answer.headers):
-        return "the answer's body is encoded"
-    if not marks.signed:
-        return "the answer is not marked as the server's own"
-    return ""
--- a/src/sycamorebay/transport/gateway/gateway.py
+++ b/src/sycamorebay/transport/gateway/gateway.py
@@ -15,6 +15,7 @@
 from sycamorebay.coordination.placing import Placer
 from sycamorebay.coordination.readers import Candidate
 from sycamorebay.protocol.dialect import Dialect
+from sycamorebay.protocol.directories import directory_text
 from sycamorebay.state.routing import RoutingTable
 from sycamorebay.state.server_entries import ServerEntries, ServerEntry
 from sycamorebay.state.stored import Stored
@@ -24,7 +25,8 @@
 from sycamorebay.transport.gateway.forward import Forwarder
 from sycamorebay.transport.gateway.lines import LineWriter
 from sycamorebay.transport.gateway.listener import CallerAnswer, CallerRequest, Listener
-from sycamorebay.transport.gateway.peers import Listeners, Own, Peers, directory_text
+from sycamorebay.transport.gateway.peer import Listeners, Own
+from sycamorebay.transport.gateway.peers import Peers
 from sycamorebay.transport.gateway.probing import Probing
 from sycamorebay.transport.gateway.settings import GatewaySettings, split_address
 
@@ -105,9 +107,14 @@
         self._peers = self._open_peers()
         self._following.peers = self._peers
         self._forwarder = Forwarder(
-            self._placer, self._pool, dialect, settings.retries, self._daemons, self._counters
+            self._placer,
+            self._pool,
+            dialect,
+            settings.retries,
+            self._daemons,
+            self._counters,
+            self._peers.on_seen,
         )
-        self._forwarder.on_seen = self._peers.on_seen
         self._probing = Probing(
             settings.name,
             self._placer,
--- a/src/sycamorebay/transport/gateway/peers.py
+++ b/src/sycamorebay/transport/gateway/peers.py
@@ -7,19 +7,16 @@
 from __future__ import annotations
 
 import asyncio
-import base64
 import json
 import random
 import zlib
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from typing import Any, cast
 
-import attrs
-
 from sycamorebay import log
 from sycamorebay.coordination.placing import Placer
-from sycamorebay.coordination.readers import Candidate
 from sycamorebay.coordination.server_load import ServerLoad
+from sycamorebay.protocol.directories import value_bytes, value_text
 from sycamorebay.protocol.load_rows import (
     CHANGED,
     COMPLETE,
@@ -32,6 +29,7 @@
 )
 from sycamorebay.state.stored import Stored
 from sycamorebay.transport.gateway.counters import Counters
+from sycamorebay.transport.gateway.peer import Listeners, Own, Peer
 
 BEAT_S = 0.25
 # A larger fleet beats less often, so that a daemon sends about this many datagrams a second.
@@ -51,78 +49,6 @@
 _log = log.part("peers")
 
 
-@attrs.define(eq=False)
-class Peer:
-    """Another daemon as it was last heard.
-
-    Attributes
-    ----------
-    name, address, control, failure_domain : str
-        `address` takes datagrams, `control` takes requests for the whole directory.
-    incarnation : int
-        Tells its starts apart.
-    heard_at : float
-        In seconds.
-    version, confirmed_at
-        What it knows of the store, and when a reader confirmed that.
-    reaches_store, ready : bool
-        As it says.
-    """
-
-    name: str
-    address: tuple[str, int]
-    control: str
-    failure_domain: str
-    incarnation: int
-    heard_at: float
-    version: int = 0
-    confirmed_at: float = float("-inf")
-    reaches_store: bool = False
-    ready: bool = False
-    silent_s: float = BEAT_S * SILENT_BEATS
-
-    def candidate(self) -> Candidate:
-        """Return it as a reader of the store."""
-        return Candidate(self.name, self.failure_domain, self.reaches_store)
-
-
-@attrs.define
-class Own:
-    """What this daemon tells of itself; see `Peer`."""
-
-    name: str
-    address: str
-    control: str
-    failure_domain: str
-    incarnation: int
-    version: int = 0
-    confirmed_at: float = float("-inf")
-    reaches_store: bool = False
-    ready: bool = False
-
-
-@attrs.frozen
-class Listeners:
-    """Who is told of what peers say.
-
-    Attributes
-    ----------
-    on_changes : callable
-        Items of the store, the version before and after them, and the peer.
-    on_behind : callable
-        A peer knows a later version.
-    on_confirmed : callable
-        A reader confirmed what this daemon knows, at a time.
-    on_room : callable
-        A backend server may have room.
-    """
-
-    on_changes: Callable[[int, list[Stored], int, Peer], None]
-    on_behind: Callable[[Peer], None]
-    on_confirmed: Callable[[float], None]
-    on_room: Callable[[], None]
-
-
 class Peers(asyncio.DatagramProtocol):
     """The other daemons, over datagrams.
 
@@ -200,7 +126,7 @@
             "t": "changes",
             "after": after,
             "version": version,
-            "items": [[item.key, _text(item.value), item.version] for item in items],
+            "items": [[item.key, value_text(item.value), item.version] for item in items],
         }
         self._send_all(message)
         self._beat()
@@ -304,7 +230,7 @@
         elif peer is None or peer.incarnation != incarnation:
             return
         elif kind == "changes":
-            items = [Stored(key, _bytes(value), int(v)) for key, value, v in message["items"]]
+            items = [Stored(key, value_bytes(value), int(v)) for key, value, v in message["items"]]
             self._listeners.on_changes(int(message["after"]), items, int(message["version"]), peer)
         elif kind == "leave":
             self._forget(peer, "it stops")
@@ -390,33 +316,3 @@
         self._by_name.pop(peer.name, None)
         self._placer.on_peer_gone(peer.name)
         _log.info("peer lost", peer=peer.name, reason=reason)
-
-
-def _text(value: bytes | None) -> str | None:
-    return None if value is None else base64.b64encode(value).decode()
-
-
-def _bytes(value: str | None) -> bytes | None:
-    return None if value is None else base64.b64decode(value)
-
-
-def directory_text(items: Iterable[Stored], version: int) -> bytes:
-    """Return a whole directory for a peer that asks for it."""
-    rows = [[item.key, _text(item.value), item.version] for item in items]
-    return zlib.compress(json.dumps({"version": version, "items": rows}).encode(), 1)
-
-
-def read_directory(data: bytes) -> tuple[list[Stored], int]:
-    """Return the items and the version of a peer's directory.
-
-    Raises
-    ------
-    ValueError
-        Where the text is not one.
-    """
-    try:
-        found = json.loads(zlib.decompress(data))
-        items = [Stored(str(k), _bytes(value), int(v)) for k, value, v in found["items"]]
-        return items, int(found["version"])
-    except (KeyError, TypeError, zlib.error) as error:
-        raise ValueError(f"not a directory: {error!r}") from error
