Let go of callers that never pause when a gateway stops

Connection: close went only onto an answer behind which nothing was open, which a caller that never pauses never meets. Change: while stopping, a connection with open requests reads nothing more; the last of them ends it. Before: the new test times out.

--- a/src/sycamorebay/transport/gateway/listener.py
+++ b/src/sycamorebay/transport/gateway/listener.py
@@ -185,6 +185,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse requests."""
+        if self._listener.stopping and self._open and not self._in_message:
+            # The last of the open answers ends the connection, so that what comes behind it counts
+            # as not read; a caller that never pauses would hold the connection open otherwise.
+            self._deaf = True
         if self._deaf:
             return
         try:
--- a/tests/test_gateway_connections.py
+++ b/tests/test_gateway_connections.py
@@ -117,3 +117,34 @@
             await asyncio.sleep(0.1)
             answer = await (await started.caller()).ask("r")
             self.assertEqual((200, "close"), (answer.status, answer.headers["connection"]))
+
+    @asynchronous
+    async def test_a_caller_that_never_pauses_is_let_go_without_a_loss(self):
+        async with fleet(servers=1) as started:
+
+            async def slow(seen: Seen, line: Line) -> None:
+                await asyncio.sleep(0.1)
+                line.answer(seen)
+
+            server = started.servers_by_id["s0"]
+            server.script = slow
+            caller = await started.caller()
+
+            async def press() -> None:
+                number = 0
+                while not caller.writer.is_closing():
+                    caller.send(f"r{number}")
+                    number += 1
+                    await asyncio.sleep(0.03)
+
+            pressing = asyncio.create_task(press())
+            await eventually(lambda: len(server.seen) > 3)
+            started.gateways[0]._stopping.set()
+            answers = []
+            async with asyncio.timeout(1.0):
+                while not answers or answers[-1].headers.get("connection") != "close":
+                    answers.append(await caller.answer())
+            pressing.cancel()
+            await asyncio.sleep(0.2)
+            self.assertEqual({200}, {answer.status for answer in answers})
+            self.assertEqual(len(server.seen), len(answers))
