--- a/src/sycamorebay/transport/gateway/sending.py
+++ b/src/sycamorebay/transport/gateway/sending.py
@@ -52,6 +52,7 @@
     MISDIRECTED = "misdirected"
     MAY_HAVE_RUN = "may have run"
     OUT_OF_TIME = "out of time"
+    CANCELLED = "cancelled"
 
 
 @attrs.frozen
@@ -172,7 +173,7 @@
             self._on_failure(server)
             return Sent(Result.MAY_HAVE_RUN, reason=str(error))
         except asyncio.CancelledError:
-            self._on_cancelled(exchange, server, loop.time() - started)
+            self._on_cancelled(exchange, server)
             raise
         marks = self._dialect.read_answer(answer.status, answer.headers)
         self._take_report(server, marks)
@@ -251,11 +252,14 @@
         if load is not None:
             load.on_shed(asyncio.get_running_loop().time())
 
-    def _on_cancelled(self, exchange: Exchange, server: ServerEntry, seconds: float) -> None:
-        """Take a caller's leaving, or the deadline; a server that was silent to it is suspect."""
-        now = asyncio.get_running_loop().time()
-        if now >= exchange.deadline:
+    def _on_cancelled(self, exchange: Exchange, server: ServerEntry) -> None:
+        """Take the end of a send without an answer; at the deadline its server is suspect."""
+        if asyncio.get_running_loop().time() >= exchange.deadline:
             self._on_failure(server)
+            reason = "the time was up"
+        else:
+            reason = "the caller left, or another send was faster"
+        self._log(exchange, server, Sent(Result.CANCELLED, reason=reason))
 
     def _log(self, exchange: Exchange, server: ServerEntry, sent: Sent) -> None:
         now = asyncio.get_running_loop().time()
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import structlog
 import testtools
 
 from standins.scripted import Line, Seen
@@ -282,6 +283,25 @@
             self.assertNotIn("r4", [one.request_id for one in server.seen])
 
 
+class LogTest(testtools.TestCase):
+    @asynchronous
+    async def test_a_send_that_ran_out_of_time_names_its_server(self):
+        async with fleet(servers=1, document=config(unsafe=route("unsafe", timeout="150ms"))) as f:
+
+            async def silent(_seen: Seen, _line: Line) -> None:
+                await asyncio.sleep(5)
+
+            f.servers_by_id["s0"].script = silent
+            before = structlog.get_config()
+            self.addCleanup(structlog.configure, **before)
+            structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(20))
+            with structlog.testing.capture_logs() as logs:
+                await (await f.caller()).ask("r1", "/unsafe/x", "POST", b"x")
+            sent = [one for one in logs if one["event"] == "request sent"]
+            found = [(one["request_id"], one["server"], one["reason"]) for one in sent]
+            self.assertEqual([("r1", "s0", "the time was up")], found)
+
+
 class RoutingTest(testtools.TestCase):
     @asynchronous
     async def test_what_reaches_the_server(self):
