Take nothing new in the second half of a stop

With few gateways of a failure domain in rotation the platform sends new callers to stopping ones too, and the listener stayed open to the end. Before: the new test connects. After: it is refused, 9 of 9 in its module.

--- a/src/sycamorebay/transport/gateway/gateway.py
+++ b/src/sycamorebay/transport/gateway/gateway.py
@@ -137,7 +137,7 @@
         async with (
             self._open(settings.readiness, readiness),
             self._open(settings.control, control),
-            self._open(settings.callers, self._callers),
+            self._open(settings.callers, self._callers) as callers,
         ):
             await self._loop.create_datagram_endpoint(
                 lambda: self._peers, local_addr=split_address(settings.datagrams)
@@ -145,7 +145,7 @@
             _log.warning("started", name=settings.name, callers=settings.callers)
             tasks = [self._loop.create_task(part) for part in self._background()]
             await self._stopping.wait()
-            await self._stop()
+            await self._stop(callers)
             for task in tasks:
                 task.cancel()
         _log.warning("stopped", log_lines_dropped=self._lines.dropped)
@@ -154,13 +154,13 @@
         return [self._following.run(), self._peers.run(), self._probing.run(), self._tick()]
 
     @asynccontextmanager
-    async def _open(self, address: str, listener: Listener) -> AsyncIterator[None]:
+    async def _open(self, address: str, listener: Listener) -> AsyncIterator[asyncio.Server]:
         host, port = split_address(address)
         server = await self._loop.create_server(
             listener.connection, host, port, backlog=BACKLOG, reuse_address=True
         )
         try:
-            yield
+            yield server
         finally:
             server.close()
 
@@ -183,13 +183,18 @@
 
     # Stopping
 
-    async def _stop(self) -> None:
-        """Leave the rotation, answer what is there and what still comes, and end."""
+    async def _stop(self, callers: asyncio.Server) -> None:
+        """Leave the rotation, answer what is there and what still comes, and end.
+
+        Where few gateways are left the platform sends callers to stopping ones too; so nothing new
+        is taken once it has had its time, or the last requests would be cut off by the end.
+        """
         started = self._loop.time()
         _log.warning("stopping", open_requests=self._callers.busy)
         self._callers.stopping = True
         await asyncio.sleep(min(ROTATION_S, self._settings.stop_s / 2))
         end = started + self._settings.stop_s - STOP_MARGIN_S
+        callers.close()
         self._callers.close_idle()
         while self._callers.connections and self._loop.time() < end:
             await asyncio.sleep(0.05)
--- a/tests/test_gateway_connections.py
+++ b/tests/test_gateway_connections.py
@@ -148,3 +148,21 @@
             await asyncio.sleep(0.2)
             self.assertEqual({200}, {answer.status for answer in answers})
             self.assertEqual(len(server.seen), len(answers))
+
+    @asynchronous
+    async def test_nothing_new_is_taken_once_the_platform_has_had_its_time(self):
+        async with fleet(servers=1) as started:
+
+            async def slow(seen: Seen, line: Line) -> None:
+                await asyncio.sleep(0.75)
+                line.answer(seen)
+
+            started.servers_by_id["s0"].script = slow
+            busy = await started.caller()
+            started.gateways[0]._stopping.set()
+            await asyncio.sleep(0.5)
+            busy.send("r")
+            await asyncio.sleep(0.7)
+            with testtools.ExpectedException(ConnectionRefusedError):
+                await started.caller()
+            self.assertEqual(200, (await busy.answer()).status)
