Ask for a path in one place, and drop what is told and never read

Cause: a read of the whole change. Taking a connection, asking and giving it back stood three times (store, peers' directories, probes), the host's name twice, the signature was checked twice, and daemons told each other a readiness that nobody used. Ruled out: merging the entry daemon's forwarding with the gateway's here; that is a change of its own. Conclusion: behaviour is as before, but for a smaller beat.

--- a/src/sycamorebay/platform/store.py
+++ b/src/sycamorebay/platform/store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import base64
 import json
 from typing import Any
@@ -10,7 +9,7 @@
 
 from sycamorebay.errors import PlatformError
 from sycamorebay.state.stored import Listing, Stored
-from sycamorebay.transport.gateway.client import AnswerError, ConnectError, Pool, request_head
+from sycamorebay.transport.gateway.client import AnswerError, ConnectError, Pool
 from sycamorebay.transport.gateway.counters import Counters
 from sycamorebay.transport.gateway.following import ChangesLostError
 
@@ -63,11 +62,7 @@
     async def _call(self, step: str, path: str, timeout_s: float) -> dict[str, Any]:
         self._counters.store_calls += 1
         try:
-            async with asyncio.timeout(timeout_s):
-                connection = await self._pool.take(self._address)
-                head = request_head("GET", path, [(b"host", self._address.encode())])
-                answer = await connection.ask(head, b"", lambda _status, _headers: True)
-            self._pool.give_back(self._address, connection)
+            answer = await self._pool.get(self._address, path, timeout_s)
             if answer.status == 410:
                 raise ChangesLostError("the history is gone", step=step, peer=self._address)
             if answer.status != 200:
--- a/src/sycamorebay/protocol/request_head.py
+++ b/src/sycamorebay/protocol/request_head.py
@@ -109,3 +109,10 @@
         return target
     absolute = _ABSOLUTE_FORM.match(target)
     return (absolute[2] or b"/") if absolute is not None else None
+
+
+def host_name(host: str) -> str:
+    """Return a host header in lower case, without its port."""
+    if host.startswith("["):
+        return host.partition("]")[0].lower() + "]"
+    return host.partition(":")[0].lower()
--- a/src/sycamorebay/transport/front.py
+++ b/src/sycamorebay/transport/front.py
@@ -13,6 +13,7 @@
 
 from sycamorebay import log
 from sycamorebay.protocol.headers import Headers
+from sycamorebay.protocol.request_head import host_name
 from sycamorebay.settings import CallerLimits, Listen
 from sycamorebay.transport.caller_protocol import CONNECTION, CallerProtocol, Listener
 from sycamorebay.transport.exchange import ForwardedBody, OutgoingAnswer, StartedBody
@@ -53,7 +54,7 @@
             text = value.decode("latin-1")
             self.headers.append((name.decode("latin-1"), text))
             if name == b"host":
-                self.host = _host_name(text)
+                self.host = host_name(text)
             elif name == b"content-length":
                 self.content_length = int(text)
             elif name == b"transfer-encoding":
@@ -169,12 +170,6 @@
     await send({"type": "http.response.body", "body": b""})
 
 
-def _host_name(host: str) -> str:
-    if host.startswith("["):
-        return host.partition("]")[0].lower() + "]"
-    return host.partition(":")[0].lower()
-
-
 class QuietServer(uvicorn.Server):
     """A uvicorn server that leaves signals to the daemon.
 
--- a/src/sycamorebay/transport/gateway/client.py
+++ b/src/sycamorebay/transport/gateway/client.py
@@ -272,6 +272,23 @@
             return idle.pop()
         return await self._connect(address, timeout_s)
 
+    async def get(self, address: str, path: str, timeout_s: float) -> ClientAnswer:
+        """Ask for a path and return the whole answer.
+
+        Raises
+        ------
+        TimeoutError
+            Where it takes longer than `timeout_s` seconds, connecting included.
+        ConnectError, AnswerError
+            Where no connection or no usable answer came.
+        """
+        async with asyncio.timeout(timeout_s):
+            connection = await self.take(address)
+            head = request_head("GET", path, [(b"host", address.encode())])
+            answer = await connection.ask(head, b"", lambda _status, _headers: True)
+        self.give_back(address, connection)
+        return answer
+
     def give_back(self, address: str, connection: Connection) -> None:
         """Keep a connection for later, or close it where it can't be used again."""
         idle = self._idle_by_address.setdefault(address, [])
--- a/src/sycamorebay/transport/gateway/following.py
+++ b/src/sycamorebay/transport/gateway/following.py
@@ -16,7 +16,7 @@
 from sycamorebay.errors import PlatformError
 from sycamorebay.protocol.directories import read_directory
 from sycamorebay.state.stored import Listing, Stored
-from sycamorebay.transport.gateway.client import AnswerError, ConnectError, Pool, request_head
+from sycamorebay.transport.gateway.client import AnswerError, ConnectError, Pool
 from sycamorebay.transport.gateway.peer import Peer
 from sycamorebay.transport.gateway.peers import Peers
 
@@ -136,11 +136,7 @@
 
     async def _pull(self, peer: Peer) -> None:
         try:
-            async with asyncio.timeout(PULL_TIMEOUT_S):
-                connection = await self._pool.take(peer.control)
-                head = request_head("GET", "/directory", [(b"host", peer.control.encode())])
-                answer = await connection.ask(head, b"", lambda _status, _headers: True)
-            self._pool.give_back(peer.control, connection)
+            answer = await self._pool.get(peer.control, "/directory", PULL_TIMEOUT_S)
             items, version = read_directory(answer.body)
             changed = self.directory.on_listing(Listing(tuple(items), version))
             self._apply(changed, "directory of " + peer.name)
--- a/src/sycamorebay/transport/gateway/gateway.py
+++ b/src/sycamorebay/transport/gateway/gateway.py
@@ -267,7 +267,6 @@
             if self._entries.expire(now):
                 self._on_servers(now)
             self._on_room()
-            self._peers.own.ready = self._is_ready()
 
     # Questions
 
--- a/src/sycamorebay/transport/gateway/listener.py
+++ b/src/sycamorebay/transport/gateway/listener.py
@@ -18,6 +18,7 @@
     TOO_SLOW,
     HeadFault,
     head_fault,
+    host_name,
     origin_form,
 )
 from sycamorebay.state.routing import CallerBounds
@@ -259,7 +260,7 @@
             method=self._parser.get_method().decode("latin-1"),
             target=target,
             path=target.partition("?")[0],
-            host=_host_name(dict(self._headers)[b"host"].decode("latin-1")),
+            host=host_name(dict(self._headers)[b"host"].decode("latin-1")),
             headers=self._headers,
             body=b"".join(self._body),
             arrived=self._loop.time(),
@@ -396,9 +397,3 @@
 
 
 _PHRASES_BY_STATUS = {status.value: status.phrase for status in http.HTTPStatus}
-
-
-def _host_name(host: str) -> str:
-    if host.startswith("["):
-        return host.partition("]")[0].lower() + "]"
-    return host.partition(":")[0].lower()
--- a/src/sycamorebay/transport/gateway/peer.py
+++ b/src/sycamorebay/transport/gateway/peer.py
@@ -27,7 +27,7 @@
         In seconds.
     version, confirmed_at
         What it knows of the store, and when a reader confirmed that.
-    reaches_store, ready : bool
+    reaches_store : bool
         As it says.
     """
 
@@ -40,7 +40,6 @@
     version: int = 0
     confirmed_at: float = float("-inf")
     reaches_store: bool = False
-    ready: bool = False
     silent_s: float = FIRST_SILENT_S
 
     def candidate(self) -> Candidate:
@@ -60,7 +59,6 @@
     version: int = 0
     confirmed_at: float = float("-inf")
     reaches_store: bool = False
-    ready: bool = False
 
 
 @attrs.frozen
--- a/src/sycamorebay/transport/gateway/peers.py
+++ b/src/sycamorebay/transport/gateway/peers.py
@@ -148,7 +148,6 @@
             "version": own.version,
             "age": round(min(1e6, now - own.confirmed_at), 3),
             "store": own.reaches_store,
-            "ready": own.ready,
             "next": self.beat_s,
             "peers": [f"{peer.address[0]}:{peer.address[1]}" for peer in told],
         }
@@ -255,7 +254,6 @@
         peer.version = int(message["version"])
         peer.confirmed_at = now - float(message["age"])
         peer.reaches_store = bool(message["store"])
-        peer.ready = bool(message["ready"])
         peer.silent_s = float(message["next"]) * SILENT_BEATS
         for text in message["peers"]:
             host, _, port = str(text).rpartition(":")
--- a/src/sycamorebay/transport/gateway/probing.py
+++ b/src/sycamorebay/transport/gateway/probing.py
@@ -11,7 +11,7 @@
 from sycamorebay.coordination.server_load import ServerLoad
 from sycamorebay.protocol.dialect import Dialect
 from sycamorebay.state.routing import RoutingTable
-from sycamorebay.transport.gateway.client import AnswerError, ConnectError, Pool, request_head
+from sycamorebay.transport.gateway.client import AnswerError, ConnectError, Pool
 from sycamorebay.transport.gateway.counters import Counters
 from sycamorebay.transport.gateway.peers import Peers
 
@@ -79,12 +79,7 @@
             if service is None:
                 return
             self._counters.probes += 1
-            host = entry.address.encode()
-            async with asyncio.timeout(TIMEOUT_S):
-                connection = await self._pool.take(entry.address)
-                head = request_head("GET", service.health_path, [(b"host", host)])
-                answer = await connection.ask(head, b"", lambda _status, _headers: True)
-            self._pool.give_back(entry.address, connection)
+            answer = await self._pool.get(entry.address, service.health_path, TIMEOUT_S)
             marks = self._dialect.read_answer(answer.status, answer.headers)
             if marks.report is not None and marks.server_id in ("", entry.id):
                 now = asyncio.get_running_loop().time()
--- a/src/sycamorebay/transport/gateway/sending.py
+++ b/src/sycamorebay/transport/gateway/sending.py
@@ -285,12 +285,10 @@
     """Return why an answer can't be passed on, or nothing."""
     if not 200 <= answer.status <= 599:
         return f"the answer's status {answer.status} is not usable"
-    if answer.status < 300 and not marks.signed:
+    if not marks.signed:
         return "the answer is not marked as the server's own"
     if answer.status < 300 and not marks.request_id:
         return "the answer doesn't name its request"
     if any(name == b"content-encoding" for name, _ in answer.headers):
         return "the answer's body is encoded"
-    if not marks.signed:
-        return "the answer is not marked as the server's own"
     return ""
