Take a peer's loads by an index, and tell the interval of the whole fleet

Loads of peers were summed anew at each look at a server, and the prober hashed each server with each daemon 33 times a second. Peers._beat_to emptied its own list of peers to beat to one address, so the interval that it told was that of a fleet of one: in fleets over 25 a daemon met by hearsay was taken for silent after 1.1 s.

Change: loads moved out of peers.py (316 lines) into load_news.py, with an index by short name that is made when the list of servers changes; ServerLoad keeps the sum; peers are found by address; keepers of servers are remembered while the fleet stays the same. An address that another daemon took over stays with that one when the first is forgotten.

New tests: the interval test fails before ([0.6] != [0.25]).

--- a/src/sycamorebay/coordination/placing.py
+++ b/src/sycamorebay/coordination/placing.py
@@ -212,17 +212,13 @@
     def on_peer_load(self, peer: str, server_id: str, in_flight: int) -> None:
         """Take what a peer has in flight at a server."""
         load = self.load(server_id)
-        if load is None:
-            return
-        if in_flight:
-            load.own_by_peer[peer] = in_flight
-        else:
-            load.own_by_peer.pop(peer, None)
+        if load is not None:
+            load.on_peer(peer, in_flight)
 
     def on_peer_gone(self, peer: str) -> None:
         """Forget what a peer had in flight."""
         for load in self.loads():
-            load.own_by_peer.pop(peer, None)
+            load.on_peer(peer, 0)
 
     # Requests
 
--- a/src/sycamorebay/coordination/server_load.py
+++ b/src/sycamorebay/coordination/server_load.py
@@ -62,7 +62,7 @@
     own : int
         This daemon's requests in flight there.
     own_by_peer : dict
-        The same of each peer, by its name.
+        The same of each peer, by its name; `on_peer` changes it.
     """
 
     entry: ServerEntry
@@ -75,6 +75,7 @@
     strikes: int = 0
     suspended_until: float = float("-inf")
     warm_at: float = float("-inf")
+    _others: int = 0
     _others_at_report: int = 0
 
     @property
@@ -82,6 +83,12 @@
         """Requests that it runs at full speed."""
         return max(1, int(self.entry.slots * COMFORTABLE_SHARE))
 
+    def on_peer(self, peer: str, in_flight: int) -> None:
+        """Take what a peer has in flight here."""
+        self._others += in_flight - self.own_by_peer.pop(peer, 0)
+        if in_flight:
+            self.own_by_peer[peer] = in_flight
+
     def on_report(self, at: float, report: Report) -> None:
         """Take a report made at a time; an older one than the known changes nothing."""
         if at <= self.reported_at:
@@ -109,7 +116,7 @@
 
     def in_flight(self, now: float) -> int:
         """Return the requests in flight there of all callers."""
-        others = sum(self.own_by_peer.values())
+        others = self._others
         if now - self.reported_at < REPORT_HORIZON_S:
             others = max(others, self._others_at_report)
         return self.own + others
--- a/src/sycamorebay/transport/gateway/gateway.py
+++ b/src/sycamorebay/transport/gateway/gateway.py
@@ -113,7 +113,7 @@
             settings.retries,
             self._daemons,
             self._counters,
-            self._peers.on_seen,
+            self._peers.loads.on_seen,
         )
         self._probing = Probing(
             settings.name,
@@ -254,6 +254,7 @@
 
     def _on_servers(self, now: float) -> None:
         self._placer.on_servers(now, self._entries)
+        self._peers.loads.on_servers()
         self._on_room()
 
     def _on_room(self) -> None:
--- a/src/sycamorebay/transport/gateway/peers.py
+++ b/src/sycamorebay/transport/gateway/peers.py
@@ -1,7 +1,7 @@
-"""What the daemons tell each other over datagrams: who lives, what is placed, what changed.
+"""What the daemons tell each other over datagrams: who lives, and what changed in the store.
 
 A beat goes to every peer at intervals and carries everything again, so a lost datagram costs no
-more than one interval. Between beats, changed loads go out within milliseconds.
+more than one interval. Loads of backend servers travel beside it, see `load_news`.
 """
 
 from __future__ import annotations
@@ -15,20 +15,11 @@
 
 from sycamorebay import log
 from sycamorebay.coordination.placing import Placer
-from sycamorebay.coordination.server_load import ServerLoad
 from sycamorebay.protocol.directories import value_bytes, value_text
-from sycamorebay.protocol.load_rows import (
-    CHANGED,
-    COMPLETE,
-    LoadMessage,
-    LoadRow,
-    read_loads,
-    rows_in_flight,
-    short_name,
-    write_loads,
-)
+from sycamorebay.protocol.load_rows import CHANGED, COMPLETE
 from sycamorebay.state.stored import Stored
 from sycamorebay.transport.gateway.counters import Counters
+from sycamorebay.transport.gateway.load_news import LoadNews
 from sycamorebay.transport.gateway.peer import Listeners, Own, Peer
 
 BEAT_S = 0.25
@@ -36,14 +27,10 @@
 BEATS_PER_S = 100.0
 # Four beats in a row are lost only where something is wrong.
 SILENT_BEATS = 4.5
-# Loads that change within this time go out together.
-GATHER_S = 0.004
 # Up to this many peers every change of load is told at once; more would take too many datagrams.
 MAX_EAGER_PEERS = 40
 MAX_DATAGRAM_BYTES = 48_000
 _COMPRESS_ABOVE_BYTES = 900
-# Of one message, so that a peer that fails altogether doesn't suspend a server for all.
-MAX_FAILURES_TAKEN = 4
 _ADDRESSES_TOLD = 2
 
 _log = log.part("peers")
@@ -76,6 +63,9 @@
     ) -> None:
         self.own = own
         self.reading = False
+        self.loads = LoadNews(
+            own.incarnation, placer, self._send_to_peers, self._is_eager, listeners.on_room
+        )
         self._seeds = set(seeds)
         self._placer = placer
         self._listeners = listeners
@@ -83,9 +73,7 @@
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.DatagramTransport | None = None
         self._by_name: dict[str, Peer] = {}
-        self._changed: dict[str, int] = {}
-        self._reported_at_by_server: dict[str, float] = {}
-        self._gathering: asyncio.TimerHandle | None = None
+        self._peers_by_address: dict[tuple[str, int], Peer] = {}
         self._rng = random.Random()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -114,12 +102,6 @@
             self._beat()
             await asyncio.sleep(self.beat_s * self._rng.uniform(0.9, 1.1))
 
-    def on_seen(self, server_id: str, failed: bool) -> None:
-        """Take a change of a server's load, to be told soon."""
-        self._changed[server_id] = self._changed.get(server_id, 0) + failed
-        if self._gathering is None and len(self._by_name) <= MAX_EAGER_PEERS:
-            self._gathering = self._loop.call_later(GATHER_S, self._send_loads)
-
     def tell_changes(self, after: int, items: Iterable[Stored], version: int) -> None:
         """Tell every peer of changes in the store."""
         message = {
@@ -135,52 +117,31 @@
         """Tell every peer that this daemon stops."""
         self._send_all({"t": "leave"})
 
+    def _is_eager(self) -> bool:
+        return len(self._by_name) <= MAX_EAGER_PEERS
+
     def _beat(self) -> None:
-        now = self._loop.time()
+        self._send(self._own_beat(), self._peers_by_address.keys() | self._seeds)
+        self._send_to_peers(self.loads.complete())
+
+    def _own_beat(self) -> dict[str, Any]:
         own = self.own
-        told = self._rng.sample(
-            list(self._by_name.values()), min(_ADDRESSES_TOLD, len(self._by_name))
-        )
-        message = {
+        known = list(self._by_name.values())
+        told = self._rng.sample(known, min(_ADDRESSES_TOLD, len(known)))
+        age_s = self._loop.time() - own.confirmed_at
+        return {
             "t": "beat",
             "control": own.control,
             "domain": own.failure_domain,
             "version": own.version,
-            "age": round(min(1e6, now - own.confirmed_at), 3),
+            "age": round(min(1e6, age_s), 3),
             "store": own.reaches_store,
             "next": self.beat_s,
             "peers": [f"{peer.address[0]}:{peer.address[1]}" for peer in told],
         }
-        addresses = {peer.address for peer in self._by_name.values()}
-        self._send(message, addresses | self._seeds)
-        loads = ((load.entry.id, load.own) for load in self._placer.loads())
-        complete = LoadMessage(own.incarnation, True, rows_in_flight(loads))
-        self._send_bytes(write_loads(complete), addresses)
-
-    def _send_loads(self) -> None:
-        self._gathering = None
-        changed = [(self._placer.load(key), failures) for key, failures in self._changed.items()]
-        self._changed.clear()
-        rows = tuple(self._row(load, failures) for load, failures in changed if load is not None)
-        data = write_loads(LoadMessage(self.own.incarnation, False, rows))
-        self._send_bytes(data, {peer.address for peer in self._by_name.values()})
-
-    def _row(self, load: ServerLoad, failures: int) -> LoadRow:
-        server_id = load.entry.id
-        server = short_name(server_id)
-        if load.report is None or not self._is_news(server_id, load.reported_at):
-            return LoadRow(server, load.own, failures)
-        age_s = self._loop.time() - load.reported_at
-        return LoadRow(server, load.own, failures, load.report, age_s)
-
-    def _is_news(self, server_id: str, reported_at: float) -> bool:
-        if self._reported_at_by_server.get(server_id) == reported_at:
-            return False
-        self._reported_at_by_server[server_id] = reported_at
-        return True
 
     def _send_all(self, message: dict[str, Any]) -> None:
-        self._send(message, {peer.address for peer in self._by_name.values()})
+        self._send(message, self._peers_by_address)
 
     def _send(self, message: dict[str, Any], addresses: Iterable[tuple[str, int]]) -> None:
         message["n"] = self.own.name
@@ -194,6 +155,9 @@
             return
         self._send_bytes(data, addresses)
 
+    def _send_to_peers(self, data: bytes) -> None:
+        self._send_bytes(data, self._peers_by_address)
+
     def _send_bytes(self, data: bytes, addresses: Iterable[tuple[str, int]]) -> None:
         if self._transport is not None:
             for address in addresses:
@@ -206,7 +170,9 @@
         self._counters.peer_datagrams += 1
         try:
             if data[:1] in (CHANGED, COMPLETE):
-                self._on_loads(read_loads(data), addr)
+                peer = self._peers_by_address.get(addr)
+                if peer is not None:
+                    self.loads.take(data, peer)
                 return
             if data[:1] != b"{":
                 data = zlib.decompress(data)
@@ -247,9 +213,10 @@
             domain, control = str(message["domain"]), str(message["control"])
             peer = Peer(name, addr, control, domain, incarnation, now)
             self._by_name[name] = peer
+            self._peers_by_address[addr] = peer
             _log.info("peer found", peer=name, address=addr[0])
             self._beat()
-        peer.address = addr
+        self._move(peer, addr)
         peer.heard_at = now
         peer.version = int(message["version"])
         peer.confirmed_at = now - float(message["age"])
@@ -263,46 +230,21 @@
         else:
             self._listeners.on_confirmed(peer.confirmed_at)
 
-    def _meet(self, address: tuple[str, int]) -> None:
-        known = {peer.address for peer in self._by_name.values()} | self._seeds
-        if address not in known and f"{address[0]}:{address[1]}" != self.own.address:
-            self._beat_to(address)
+    def _move(self, peer: Peer, address: tuple[str, int]) -> None:
+        if peer.address != address:
+            self._drop_address(peer)
+            self._peers_by_address[address] = peer
+            peer.address = address
 
-    def _beat_to(self, address: tuple[str, int]) -> None:
-        seeds, by_name = self._seeds, self._by_name
-        self._seeds, self._by_name = {address}, {}
-        try:
-            self._beat()
-        finally:
-            self._seeds, self._by_name = seeds, by_name
+    def _drop_address(self, peer: Peer) -> None:
+        # Another daemon may have the address by now.
+        if self._peers_by_address.get(peer.address) is peer:
+            del self._peers_by_address[peer.address]
 
-    def _on_loads(self, message: LoadMessage, addr: tuple[str, int]) -> None:
-        peer = self._peer_at(addr)
-        if peer is None or peer.incarnation != message.incarnation:
-            return
-        now = self._loop.time()
-        loads = {short_name(load.entry.id): load for load in self._placer.loads()}
-        for row in message.rows:
-            load = loads.get(row.server)
-            if load is None:
-                continue
-            self._placer.on_peer_load(peer.name, load.entry.id, row.in_flight)
-            for _ in range(min(row.failures, MAX_FAILURES_TAKEN)):
-                load.on_failure(now)
-            if row.report is not None:
-                load.on_report(now - row.age_s, row.report)
-        if message.complete:
-            named = {row.server for row in message.rows}
-            for server, load in loads.items():
-                if server not in named:
-                    self._placer.on_peer_load(peer.name, load.entry.id, 0)
-        self._listeners.on_room()
-
-    def _peer_at(self, addr: tuple[str, int]) -> Peer | None:
-        for peer in self._by_name.values():
-            if peer.address == addr:
-                return peer
-        return None
+    def _meet(self, address: tuple[str, int]) -> None:
+        known = address in self._peers_by_address or address in self._seeds
+        if not known and f"{address[0]}:{address[1]}" != self.own.address:
+            self._send(self._own_beat(), [address])
 
     def _forget_silent(self) -> None:
         now = self._loop.time()
@@ -312,5 +254,6 @@
 
     def _forget(self, peer: Peer, reason: str) -> None:
         self._by_name.pop(peer.name, None)
+        self._drop_address(peer)
         self._placer.on_peer_gone(peer.name)
         _log.info("peer lost", peer=peer.name, reason=reason)
--- a/src/sycamorebay/transport/gateway/probing.py
+++ b/src/sycamorebay/transport/gateway/probing.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import hashlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from sycamorebay import log
 from sycamorebay.coordination.placing import Placer
@@ -48,18 +48,33 @@
         self._counters = counters
         self._asking: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._names: tuple[str, ...] = ()
+        self._keeper_by_server: dict[str, str] = {}
 
     async def run(self) -> None:
         """Probe until cancelled."""
         loop = asyncio.get_running_loop()
         while True:
             now = loop.time()
-            names = [self._name, *(peer.name for peer in self._peers.alive())]
+            self._note_names()
             for load in self._placer.loads():
-                if self._is_due(now, load) and _keeper(load.entry.id, names) == self._name:
+                if self._is_due(now, load) and self._is_kept(load.entry.id):
                     self._start(load)
             await asyncio.sleep(TICK_S)
 
+    def _note_names(self) -> None:
+        names = (self._name, *(peer.name for peer in self._peers.alive()))
+        if names != self._names:
+            self._names = names
+            self._keeper_by_server.clear()
+
+    def _is_kept(self, server_id: str) -> bool:
+        """Whether it is this daemon that probes a server."""
+        keeper = self._keeper_by_server.get(server_id)
+        if keeper is None:
+            keeper = self._keeper_by_server[server_id] = _keeper(server_id, self._names)
+        return keeper == self._name
+
     def _is_due(self, now: float, load: ServerLoad) -> bool:
         if load.entry.leaving or load.entry.id in self._asking or now < load.suspended_until:
             return False
@@ -84,15 +99,15 @@
             if marks.report is not None and marks.server_id in ("", entry.id):
                 now = asyncio.get_running_loop().time()
                 self._placer.on_report(now, entry.id, marks.report)
-                self._peers.on_seen(entry.id, False)
+                self._peers.loads.on_seen(entry.id, False)
         except (TimeoutError, ConnectError, AnswerError) as error:
             load.on_failure(asyncio.get_running_loop().time())
-            self._peers.on_seen(entry.id, True)
+            self._peers.loads.on_seen(entry.id, True)
             _log.info("probe failed", server=entry.id, reason=str(error) or type(error).__name__)
         finally:
             self._asking.discard(entry.id)
 
 
-def _keeper(server_id: str, names: list[str]) -> str:
+def _keeper(server_id: str, names: Iterable[str]) -> str:
     """Return which daemon probes a server: the same on all that see the same daemons."""
     return max(names, key=lambda name: hashlib.blake2b(f"{server_id}/{name}".encode()).digest())
--- /dev/null
+++ b/tests/test_gateway_peers.py
@@ -0,0 +1,141 @@
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import zlib
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sycamorebay.coordination.placing import Placer
+from sycamorebay.coordination.server_load import MeanPace, Report, ServerLoad
+from sycamorebay.protocol.load_rows import LoadMessage, LoadRow, short_name, write_loads
+from sycamorebay.state.server_entries import ServerEntry
+from sycamorebay.transport.gateway.counters import Counters
+from sycamorebay.transport.gateway.peer import Listeners, Own
+from sycamorebay.transport.gateway.peers import BEATS_PER_S, Peers
+from tests.support import asynchronous
+
+SERVER = ServerEntry("s", "desk", "10.0.0.9:80", "a", 3)
+
+
+class Sent:
+    """Takes the place of the datagram transport."""
+
+    def __init__(self) -> None:
+        self.messages: list[tuple[bytes, tuple[str, int]]] = []
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        self.messages.append((data, address))
+
+    def beats_to(self, address: tuple[str, int]) -> list[dict]:
+        found = [data for data, to in self.messages if to == address and data[:1] not in b"LF"]
+        plain = [data if data[:1] == b"{" else zlib.decompress(data) for data in found]
+        return [json.loads(data) for data in plain]
+
+
+def peers_of(placer: Placer, rooms: list[None] | None = None) -> tuple[Peers, Sent]:
+    own = Own("own", "10.0.0.1:9", "10.0.0.1:8", "a", 1)
+    ignore = Listeners(
+        lambda *_: None,
+        lambda *_: None,
+        lambda *_: None,
+        lambda: rooms.append(None) if rooms is not None else None,
+    )
+    peers, sent = Peers(own, [], placer, ignore, Counters()), Sent()
+    peers.connection_made(sent)
+    return peers, sent
+
+
+def beat(name: str, incarnation: int = 1, told: tuple[str, ...] = ()) -> bytes:
+    message = {
+        "t": "beat",
+        "n": name,
+        "i": incarnation,
+        "control": "",
+        "domain": "b",
+        "version": 0,
+        "age": 1.0,
+        "store": True,
+        "next": 0.25,
+        "peers": list(told),
+    }
+    return json.dumps(message).encode()
+
+
+def loads(incarnation: int, complete: bool, *rows: LoadRow) -> bytes:
+    return write_loads(LoadMessage(incarnation, complete, rows))
+
+
+def placer_with_server() -> Placer:
+    placer = Placer("a", random.Random(1))
+    placer.on_servers(0.0, [SERVER])
+    return placer
+
+
+class MembershipTest(testtools.TestCase):
+    @asynchronous
+    async def test_a_daemon_met_by_hearsay_is_told_the_interval_of_the_whole_fleet(self):
+        peers, sent = peers_of(Placer("a", random.Random(1)))
+        for number in range(60):
+            peers.datagram_received(beat(f"p{number}"), ("10.1.0.1", number + 1))
+        peers.datagram_received(beat("p0", told=("10.9.9.9:5",)), ("10.1.0.1", 1))
+        told = sent.beats_to(("10.9.9.9", 5))
+        self.assertEqual([60 / BEATS_PER_S], [message["next"] for message in told])
+
+    @asynchronous
+    async def test_an_address_that_another_daemon_took_over_stays_its_own(self):
+        placer = placer_with_server()
+        peers, _ = peers_of(placer)
+        peers.loads.on_servers()
+        address = ("10.1.0.1", 1)
+        peers.datagram_received(beat("old"), address)
+        peers.datagram_received(beat("new", 7), address)
+        peers.datagram_received(json.dumps({"t": "leave", "n": "old", "i": 1}).encode(), address)
+        peers.datagram_received(loads(7, False, LoadRow(short_name("s"), 2)), address)
+        self.assertEqual({"new": 2}, placer.load("s").own_by_peer)
+
+
+class LoadNewsTest(testtools.TestCase):
+    @asynchronous
+    async def test_loads_of_a_peer_are_taken_and_those_of_an_earlier_start_are_not(self):
+        placer, rooms = placer_with_server(), []
+        peers, _ = peers_of(placer, rooms)
+        peers.loads.on_servers()
+        address, server = ("10.1.0.1", 1), short_name("s")
+        peers.datagram_received(loads(2, False, LoadRow(server, 3)), address)
+        peers.datagram_received(beat("p", 2), address)
+        peers.datagram_received(loads(1, False, LoadRow(server, 3)), address)
+        self.assertEqual({}, placer.load("s").own_by_peer)
+        report = Report(2, 1, 4.0)
+        peers.datagram_received(loads(2, False, LoadRow(server, 2, 0, report, 0.02)), address)
+        self.assertEqual({"p": 2}, placer.load("s").own_by_peer)
+        self.assertEqual(report, placer.load("s").report)
+        self.assertEqual(1, len(rooms))
+        peers.datagram_received(loads(2, True), address)
+        self.assertEqual({}, placer.load("s").own_by_peer)
+
+    @asynchronous
+    async def test_changes_within_a_moment_go_out_as_one_message(self):
+        placer = placer_with_server()
+        peers, sent = peers_of(placer)
+        peers.loads.on_servers()
+        peers.datagram_received(beat("p"), ("10.1.0.1", 1))
+        sent.messages.clear()
+        placer.load("s").own = 2
+        peers.loads.on_seen("s", True)
+        peers.loads.on_seen("s", True)
+        await asyncio.sleep(0.03)
+        expected = loads(1, False, LoadRow(short_name("s"), 2, 2))
+        self.assertEqual([(expected, ("10.1.0.1", 1))], sent.messages)
+
+
+class OthersTest(testtools.TestCase):
+    @given(st.lists(st.tuples(st.sampled_from("pqr"), st.integers(0, 4))))
+    def test_requests_of_peers_add_up(self, told):
+        load = ServerLoad(SERVER, MeanPace())
+        for peer, in_flight in told:
+            load.on_peer(peer, in_flight)
+        self.assertEqual(sum(dict(told).values()), load.in_flight(0.0))
