--- a/src/sycamorebay/transport/gateway/gateway.py
+++ b/src/sycamorebay/transport/gateway/gateway.py
@@ -7,7 +7,7 @@
 import random
 import signal
 import time
-from collections.abc import AsyncIterator, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
 from typing import Any, Protocol
 
@@ -35,6 +35,8 @@
 # Kept back at the end of the time to stop, to be gone before SIGKILL.
 STOP_MARGIN_S = 0.7
 TICK_S = 0.01
+# Long enough that a part that fails at once doesn't take all the processor's time.
+RESTART_PART_S = 0.1
 BACKLOG = 512
 
 _log = log.part("gateway")
@@ -143,15 +145,22 @@
                 lambda: self._peers, local_addr=split_address(settings.datagrams)
             )
             _log.warning("started", name=settings.name, callers=settings.callers)
-            tasks = [self._loop.create_task(part) for part in self._background()]
-            await self._stopping.wait()
-            await self._stop(callers)
-            for task in tasks:
-                task.cancel()
+            async with self._background():
+                await self._stopping.wait()
+                await self._stop(callers)
         _log.warning("stopped", log_lines_dropped=self._lines.dropped)
 
-    def _background(self) -> list[Coroutine[Any, Any, None]]:
-        return [self._following.run(), self._peers.run(), self._probing.run(), self._tick()]
+    @asynccontextmanager
+    async def _background(self) -> AsyncIterator[None]:
+        """Run the parts that work beside requests."""
+        parts = (self._following.run, self._peers.run, self._probing.run, self._tick)
+        tasks = [self._loop.create_task(_keep_running(part)) for part in parts]
+        try:
+            yield
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
 
     @asynccontextmanager
     async def _open(self, address: str, listener: Listener) -> AsyncIterator[asyncio.Server]:
@@ -295,6 +304,16 @@
         return CallerAnswer(404, [])
 
 
+async def _keep_running(part: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    """Run a part until cancelled; a fault in it must not leave the daemon without it."""
+    while True:
+        try:
+            await part()
+        except Exception as error:
+            _log.exception("part failed", part=part.__qualname__, error=repr(error))
+        await asyncio.sleep(RESTART_PART_S)
+
+
 def settle_collector() -> None:
     """Spare the collector what was made while starting."""
     gc.collect()
--- a/standins/kv.py
+++ b/standins/kv.py
@@ -8,6 +8,8 @@
 import asyncio
 import base64
 import json
+import time
+from collections import deque
 from typing import Any
 
 import attrs
@@ -32,12 +34,18 @@
         Take calls and never answer.
     forgotten : int
         Version up to which the history is gone.
+    late_s : float
+        Answer calls this much later, with what was true when they came.
+    per_s : float
+        Calls a second that are taken; others get 429. 0 for any number.
     """
 
     refuse_status: int = 0
     reset: bool = False
     silent: bool = False
     forgotten: int = 0
+    late_s: float = 0.0
+    per_s: float = 0.0
 
 
 class KvStore:
@@ -52,6 +60,7 @@
     def __init__(self, platform: Platform | None = None) -> None:
         self.platform = platform or Platform()
         self.faults = KvFaults()
+        self._taken: deque[float] = deque()
 
     def app(self) -> web.Application:
         """Return the application."""
@@ -81,6 +90,17 @@
             raise ConnectionResetError
         if self.faults.refuse_status:
             raise _refusal(self.faults.refuse_status)
+        if self.faults.per_s and not self._is_within_rate():
+            raise _refusal(429)
+
+    def _is_within_rate(self) -> bool:
+        now = time.monotonic()
+        while self._taken and now - self._taken[0] > 1.0:
+            self._taken.popleft()
+        if len(self._taken) >= self.faults.per_s:
+            return False
+        self._taken.append(now)
+        return True
 
     async def _range(self, request: web.Request) -> web.Response:
         await self._suffer(request)
@@ -91,6 +111,7 @@
         page = left[:PAGE_ITEMS]
         version = int(self.platform.header()["revision"])
         more = len(left) > len(page)
+        await asyncio.sleep(self.faults.late_s)
         return web.json_response({"items": page, "has_more": more, "as_of": version})
 
     async def _watch(self, request: web.Request) -> web.Response:
@@ -110,7 +131,9 @@
         finally:
             self.platform.watchers.discard(queue)
         version = int(self.platform.header()["revision"])
-        return web.json_response({"events": self._events(prefix, after), "as_of": version})
+        events = self._events(prefix, after)
+        await asyncio.sleep(self.faults.late_s)
+        return web.json_response({"events": events, "as_of": version})
 
     def _events(self, prefix: str, after: int) -> list[dict[str, Any]]:
         events = [_event(event) for event in self.platform.events_since(after + 1)]
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -125,7 +125,7 @@
         self.servers_by_id: dict[str, ScriptedServer] = {}
         self.gateways: list[Gateway] = []
         self.settings: list[GatewaySettings] = []
-        self._store_address = ""
+        self.store_address = ""
         self._tasks: list[asyncio.Task[None]] = []
         self._stack = contextlib.AsyncExitStack()
 
@@ -135,7 +135,7 @@
         port = free_port()
         await web.TCPSite(runner, "127.0.0.1", port).start()
         self._stack.push_async_callback(runner.cleanup)
-        self._store_address = f"127.0.0.1:{port}"
+        self.store_address = f"127.0.0.1:{port}"
 
     async def server(self, server_id: str, service: str = "desk", **kwargs: Any) -> ScriptedServer:
         server = ScriptedServer(server_id, **kwargs)
@@ -168,7 +168,7 @@
             settings,
             PlatformDialect(),
             PlatformDocuments(),
-            lambda pool, counters: PlatformStore(self._store_address, pool, counters),
+            lambda pool, counters: PlatformStore(self.store_address, pool, counters),
             LineWriter(writer),
         )
         self.gateways.append(gateway)
