--- a/bench/emulator/load.py
+++ b/bench/emulator/load.py
@@ -64,6 +64,26 @@
     noise_factor: float
 
 
+@attrs.frozen
+class Losses:
+    """Servers that lose answers by a reset for a while.
+
+    Attributes
+    ----------
+    at, for_s : float
+        When, in seconds.
+    servers : float
+        Share of each service's servers.
+    answers : float
+        Share of their answers.
+    """
+
+    at: float
+    for_s: float
+    servers: float
+    answers: float
+
+
 @attrs.frozen
 class Scenario:
     """One deployment under one load."""
@@ -77,6 +97,7 @@
     period_s: float
     bursts: tuple[Burst, ...]
     length_s: float
+    losses: tuple[Losses, ...] = ()
 
     def rate(self, now: float) -> float:
         """Return requests a second at a time."""
@@ -163,4 +184,16 @@
     length_s=45.0,
 )
 
-SCENARIOS_BY_NAME = {"husk": HUSK, "swan": SWAN}
+LOSING = attrs.evolve(
+    HUSK,
+    name="losing",
+    bursts=(),
+    losses=(Losses(8.0, 4.0, 0.35, 0.4), Losses(22.0, 4.0, 0.35, 0.4)),
+)
+
+# Some servers answer nothing at all for a while.
+DEAD = attrs.evolve(
+    LOSING, name="dead", losses=(Losses(8.0, 4.0, 0.2, 1.0), Losses(22.0, 4.0, 0.2, 1.0))
+)
+
+SCENARIOS_BY_NAME = {one.name: one for one in (HUSK, SWAN, LOSING, DEAD)}
--- a/bench/emulator/servers.py
+++ b/bench/emulator/servers.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from bench.emulator.load import Service
+from bench.emulator.load import Losses, Service
 from sycamorebay.coordination.server_load import Report
 from sycamorebay.state.server_entries import ServerEntry
 
@@ -29,9 +29,14 @@
 class EmulatedServer:
     """One server; `start` returns when its next run ends."""
 
-    def __init__(self, number: int, service: Service, rng: Random) -> None:
+    def __init__(
+        self, number: int, service: Service, rng: Random, losses: tuple[Losses, ...] = ()
+    ) -> None:
         self._service = service
         self._rng = rng
+        # Drawn apart, so that losses don't change the paces that a policy meets.
+        self._loss_rng = Random(rng.random())
+        self._losses = [one for one in losses if (number + 0.5) / service.servers < one.servers]
         self._phase = rng.random() * NOISE_S
         self._paces: list[float] = []
         self.running: list[Run] = []
@@ -52,6 +57,13 @@
             self._paces.append(self._service.noise_factor if noisy else 1.0)
         return self._paces[step]
 
+    def loses(self, now: float) -> bool:
+        """Whether an answer that is ready now is lost."""
+        return any(
+            one.at <= now < one.at + one.for_s and self._loss_rng.random() < one.answers
+            for one in self._losses
+        )
+
     def report(self, now: float) -> Report:
         """Return the load that the server tells."""
         return Report(len(self.running), len(self.waiting), self.pace(now))
--- a/src/sycamorebay/transport/gateway/load_news.py
+++ b/src/sycamorebay/transport/gateway/load_news.py
@@ -1,7 +1,9 @@
 """What the daemons tell each other of the load of backend servers, within milliseconds.
 
 Answers uneven traffic: a daemon that knew its own requests only would pick servers that others
-have filled. Changed loads go out together after a moment; a beat carries all of them again.
+have filled. What changes in one turn of the event loop goes out together at its end, since two
+daemons that decide within the time of one message choose the same server; a beat carries all of
+it again.
 """
 
 from __future__ import annotations
@@ -21,8 +23,6 @@
 )
 from sycamorebay.transport.gateway.peer import Peer
 
-# Loads that change within this time go out together.
-GATHER_S = 0.004
 # Of one message, so that a peer that fails altogether doesn't suspend a server for all.
 MAX_FAILURES_TAKEN = 4
 
@@ -60,7 +60,7 @@
         self._loop = asyncio.get_running_loop()
         self._failures_by_changed: dict[str, int] = {}
         self._reported_at_by_server: dict[str, float] = {}
-        self._gathering: asyncio.TimerHandle | None = None
+        self._gathering = False
         self._loads_by_name: dict[int, ServerLoad] = {}
 
     def on_servers(self) -> None:
@@ -77,8 +77,9 @@
         """Take a change of a server's load, to be told soon."""
         failures = self._failures_by_changed.get(server_id, 0)
         self._failures_by_changed[server_id] = failures + failed
-        if self._gathering is None and self._eager():
-            self._gathering = self._loop.call_later(GATHER_S, self._send_changed)
+        if not self._gathering and self._eager():
+            self._gathering = True
+            self._loop.call_soon(self._send_changed)
 
     def complete(self) -> bytes:
         """Return all that this daemon has in flight, as a message."""
@@ -104,7 +105,7 @@
             self._loads_by_name[name].on_peer(peer, 0)
 
     def _send_changed(self) -> None:
-        self._gathering = None
+        self._gathering = False
         changed = self._failures_by_changed
         self._failures_by_changed = {}
         loads = ((self._placer.load(key), failures) for key, failures in changed.items())
