Sort the transport layer into folders by what its parts are about

Cause: transport/ held 29 files of five concerns beside the gateway's folder, and a newcomer had to open each to see which belong together.

The gateway imports none of the files that moved. No other line of src changed. The tests' runner of coroutines (support.py) tells the longest pauses of the loop where a test fails, so that a pause of the machine can be told from a fault of the product.

--- a/bench/capacity/entries.py
+++ b/bench/capacity/entries.py
@@ -16,8 +16,8 @@
 from bench.capacity.documents import DOMAINS, ROUTES
 from bench.fleet import CALLERS_PORT, ROOT, Fleet, Shape, service
 from sycamorebay.settings import PlatformSettings
-from sycamorebay.transport import admin
-from sycamorebay.transport.platform import open_store
+from sycamorebay.transport.configuration import admin
+from sycamorebay.transport.configuration.platform import open_store
 
 HOST = "desk.test"
 SERVERS = 8
--- a/bench/capacity/rows_calls.py
+++ b/bench/capacity/rows_calls.py
@@ -11,7 +11,7 @@
 
 FORWARDING = "entry: forwarding"
 CHOICE = "entry: choice"
-FORWARD = "transport.forward"
+FORWARD = "transport.forwarding.forward"
 MS = 1e3
 US = 1e6
 MB = 1e6
@@ -187,7 +187,7 @@
             "MB",
             SUPPOSED,
             "`forwarding.connection` at 1,000",
-            "transport.front",
+            "transport.forwarding.front",
         ),
         Row(
             FORWARDING,
@@ -197,7 +197,7 @@
             "ms",
             MEASURED,
             "`forwarding.body`",
-            "transport.upstream",
+            "transport.forwarding.upstream",
         ),
     ]
 
@@ -257,7 +257,7 @@
             "connections",
             COMPUTED,
             "entries; bound: about 200 connections an instance today",
-            "transport.upstream",
+            "transport.forwarding.upstream",
             200.0,
             "a subset of entries for each backend server",
         ),
--- a/bench/capacity/rows_control.py
+++ b/bench/capacity/rows_control.py
@@ -15,7 +15,7 @@
 from sycamorebay.protocol.revisions import MAX_TRAIL_ENTRIES
 from sycamorebay.settings import OperationSettings, PeerSettings, Settings
 from sycamorebay.state.document import Measuring
-from sycamorebay.transport.ranges import MIN_READ_INTERVAL_S
+from sycamorebay.transport.operations.ranges import MIN_READ_INTERVAL_S
 
 PROBES = "entry: probes"
 OPERATIONS = "entry: operations at most once"
@@ -103,7 +103,7 @@
             "ms",
             MEASURED,
             "`probes.time`",
-            "transport.probing",
+            "transport.forwarding.probing",
         ),
         Row(
             PROBES,
@@ -113,7 +113,7 @@
             "% of a core",
             COMPUTED,
             f"`probes.time` x {per_entry:g}",
-            "transport.probing",
+            "transport.forwarding.probing",
             DESIGN.control_core_share * 100,
             "a smaller budget, or cheaper probes over UDP",
         ),
@@ -189,7 +189,7 @@
             "peers",
             COMPUTED,
             "entries - 1, each with a question and an answer",
-            "transport.inquire",
+            "transport.operations.inquire",
         ),
         Row(
             OPERATIONS,
@@ -199,7 +199,7 @@
             "B/s",
             SUPPOSED,
             "2 x operations at one entry x 1 % sent again x `operations.inquiry_bytes`",
-            "transport.inquire",
+            "transport.operations.inquire",
             DESIGN.control_bytes_per_s,
             "a home for each key, so that one peer is asked",
         ),
@@ -221,7 +221,7 @@
             "reads/s",
             SUPPOSED,
             "one for each later send, at most 5 a second for each entry",
-            "transport.ranges",
+            "transport.operations.ranges",
             PLATFORM.reads_per_s,
             "ranges that ride on heartbeats",
         ),
@@ -265,7 +265,7 @@
             COMPUTED,
             f"{MAX_TRAIL_ENTRIES} entries reach back {trail_hours:.1f} h at 2,900 changes a"
             " day; bound: none, set here",
-            "transport.admin",
+            "transport.configuration.admin",
             0.0,
             "a key for each few hundred entries; until then the log of the command line keeps them",
         ),
@@ -277,7 +277,7 @@
             "B/s",
             COMPUTED,
             "value x 4/3 (base64) x 2,900 a day",
-            "transport.platform",
+            "transport.configuration.platform",
             DESIGN.control_bytes_per_s,
             "differences in place of whole documents",
         ),
@@ -289,7 +289,7 @@
             "B/s",
             SUPPOSED,
             "value x 4/3 x 20 a minute",
-            "transport.platform",
+            "transport.configuration.platform",
             DESIGN.control_bytes_per_s,
             "watch a small key with number and digest; fetch the newest, once in some seconds",
         ),
@@ -301,7 +301,7 @@
             "B",
             MEASURED,
             "`configuration.fetch` at 630 instances in 82 services",
-            "transport.heartbeats",
+            "transport.peering.heartbeats",
         ),
         Row(
             CONFIGURATION,
@@ -347,7 +347,7 @@
             "s",
             MEASURED,
             "`revisions.in_force`",
-            "transport.daemon",
+            "transport.entry.daemon",
             DESIGN.in_force_s,
         ),
     ]
@@ -364,7 +364,7 @@
             "B/s",
             COMPUTED,
             "`members.peer_bytes` at the entries needed",
-            "transport.peers",
+            "transport.peering.peers",
             DESIGN.control_bytes_per_s,
             "a bounded number of peers for each heartbeat",
         ),
@@ -388,7 +388,7 @@
             "connections",
             COMPUTED,
             "2 x (entries - 1)",
-            "transport.peers",
+            "transport.peering.peers",
         ),
         Row(
             MEMBERSHIP,
@@ -454,7 +454,7 @@
             "% of a core",
             SUPPOSED,
             "sum of the rows above",
-            "transport.daemon",
+            "transport.entry.daemon",
             DESIGN.control_core_share * 100,
             "the rows above",
         ),
@@ -466,7 +466,7 @@
             "B/s",
             SUPPOSED,
             "sum of the rows above",
-            "transport.daemon",
+            "transport.entry.daemon",
             DESIGN.control_bytes_per_s,
             "the rows above",
         ),
@@ -478,7 +478,7 @@
             "MB",
             COMPUTED,
             "`members.memory` at the entries needed + `choice.services` at 82",
-            "transport.daemon",
+            "transport.entry.daemon",
             DESIGN.control_bytes / MB,
             "fewer links; fewer libraries loaded",
         ),
--- a/src/sycamorebay/cli.py
+++ b/src/sycamorebay/cli.py
@@ -12,7 +12,7 @@
 from sycamorebay.commands.shared import exit_codes
 from sycamorebay.settings import load_settings, settings_schema
 from sycamorebay.state.document import document_schema
-from sycamorebay.transport.daemon import serve as serve_entry
+from sycamorebay.transport.entry.daemon import serve as serve_entry
 
 
 @click.group()
--- a/src/sycamorebay/commands/config.py
+++ b/src/sycamorebay/commands/config.py
@@ -21,9 +21,9 @@
 from sycamorebay.settings import LogSettings
 from sycamorebay.state.difference import differences
 from sycamorebay.state.review import review_document
-from sycamorebay.transport import admin
-from sycamorebay.transport.admin import Accepted, Change
-from sycamorebay.transport.platform import Store
+from sycamorebay.transport.configuration import admin
+from sycamorebay.transport.configuration.admin import Accepted, Change
+from sycamorebay.transport.configuration.platform import Store
 
 _POLL_S = 0.5
 
--- a/src/sycamorebay/commands/shared.py
+++ b/src/sycamorebay/commands/shared.py
@@ -21,7 +21,7 @@
 )
 from sycamorebay.settings import PlatformSettings
 from sycamorebay.state.faults import Fault
-from sycamorebay.transport.platform import Store, open_store
+from sycamorebay.transport.configuration.platform import Store, open_store
 
 EXIT_DIFFERS = 1
 EXIT_FAULTS = 2
--- a/src/sycamorebay/transport/admin.py
+++ b/src/sycamorebay/transport/configuration/admin.py
@@ -40,7 +40,7 @@
 )
 from sycamorebay.state.document import digest_of
 from sycamorebay.state.review import review_document
-from sycamorebay.transport.platform import Store, Write
+from sycamorebay.transport.configuration.platform import Store, Write
 
 MAX_TEXTS = 20
 SETTLE_TRIES = 8
--- a/src/sycamorebay/transport/following.py
+++ b/src/sycamorebay/transport/configuration/following.py
@@ -14,8 +14,8 @@
 from sycamorebay.protocol.keys import document_key, environment_prefix, members_prefix
 from sycamorebay.settings import Settings
 from sycamorebay.transport.clock import boottime
-from sycamorebay.transport.in_force import RevisionInForce
-from sycamorebay.transport.platform import Listing, Store, Stored
+from sycamorebay.transport.configuration.in_force import RevisionInForce
+from sycamorebay.transport.configuration.platform import Listing, Store, Stored
 
 _log = log.part("platform")
 
--- a/src/sycamorebay/transport/registration.py
+++ b/src/sycamorebay/transport/configuration/registration.py
@@ -18,8 +18,8 @@
 from sycamorebay.protocol.reports import Report, encode_report, report_key
 from sycamorebay.settings import Settings
 from sycamorebay.transport.clock import boottime
-from sycamorebay.transport.in_force import RevisionInForce
-from sycamorebay.transport.platform import Store
+from sycamorebay.transport.configuration.in_force import RevisionInForce
+from sycamorebay.transport.configuration.platform import Store
 
 REPORT_SPREAD_S = 0.5
 
--- /dev/null
+++ b/src/sycamorebay/transport/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon: its parts composed, started, watched and stopped."""
--- a/src/sycamorebay/transport/control.py
+++ b/src/sycamorebay/transport/entry/control.py
@@ -12,18 +12,18 @@
 from sycamorebay.coordination.membership import Member, Membership
 from sycamorebay.metrics import Metrics
 from sycamorebay.settings import Settings
-from sycamorebay.transport.background import Background
 from sycamorebay.transport.clock import boottime
-from sycamorebay.transport.following import StoreFollower
-from sycamorebay.transport.heartbeats import Heartbeats
-from sycamorebay.transport.in_force import RevisionInForce
-from sycamorebay.transport.news import NewsExchange, VmWatch
-from sycamorebay.transport.pauses import PauseWatch
-from sycamorebay.transport.peer_messages import PeerMessages
-from sycamorebay.transport.peers import PeerNetwork
-from sycamorebay.transport.platform import open_store
-from sycamorebay.transport.registration import Registration
-from sycamorebay.transport.secrets import SecretFile, SecretRefresh
+from sycamorebay.transport.configuration.following import StoreFollower
+from sycamorebay.transport.configuration.in_force import RevisionInForce
+from sycamorebay.transport.configuration.platform import open_store
+from sycamorebay.transport.configuration.registration import Registration
+from sycamorebay.transport.entry.background import Background
+from sycamorebay.transport.entry.pauses import PauseWatch
+from sycamorebay.transport.peering.heartbeats import Heartbeats
+from sycamorebay.transport.peering.news import NewsExchange, VmWatch
+from sycamorebay.transport.peering.peer_messages import PeerMessages
+from sycamorebay.transport.peering.peers import PeerNetwork
+from sycamorebay.transport.peering.secrets import SecretFile, SecretRefresh
 
 
 class Control:
--- a/src/sycamorebay/transport/daemon.py
+++ b/src/sycamorebay/transport/entry/daemon.py
@@ -16,16 +16,16 @@
 from sycamorebay.coordination.dispatch import Dispatcher
 from sycamorebay.metrics import Metrics
 from sycamorebay.settings import Settings
-from sycamorebay.transport import collector
-from sycamorebay.transport.background import Background, running
-from sycamorebay.transport.control import Control
-from sycamorebay.transport.forward import Forwarder
-from sycamorebay.transport.front import caller_server, server
-from sycamorebay.transport.keyed import KeyedOperations, open_operations
-from sycamorebay.transport.operators import Status, operator_app
-from sycamorebay.transport.probing import Probing
-from sycamorebay.transport.timing import Timers
-from sycamorebay.transport.upstream import open_upstream
+from sycamorebay.transport.entry import collector
+from sycamorebay.transport.entry.background import Background, running
+from sycamorebay.transport.entry.control import Control
+from sycamorebay.transport.entry.operators import Status, operator_app
+from sycamorebay.transport.entry.timing import Timers
+from sycamorebay.transport.forwarding.forward import Forwarder
+from sycamorebay.transport.forwarding.front import caller_server, server
+from sycamorebay.transport.forwarding.probing import Probing
+from sycamorebay.transport.forwarding.upstream import open_upstream
+from sycamorebay.transport.operations.keyed import KeyedOperations, open_operations
 
 _OPERATORS_STOP_LIMIT_S = 1.0
 
--- a/src/sycamorebay/transport/timing.py
+++ b/src/sycamorebay/transport/entry/timing.py
@@ -8,7 +8,7 @@
 
 from sycamorebay.coordination.assignment import Entry
 from sycamorebay.coordination.dispatch import Dispatcher
-from sycamorebay.transport.forward import Forwarder
+from sycamorebay.transport.forwarding.forward import Forwarder
 
 TICK_S = 0.01
 ENTRIES_EVERY_S = 1.0
--- /dev/null
+++ b/src/sycamorebay/transport/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of callers on their way to backend servers and back."""
--- a/src/sycamorebay/transport/exchange.py
+++ b/src/sycamorebay/transport/forwarding/exchange.py
@@ -11,8 +11,8 @@
 from sycamorebay import log
 from sycamorebay.coordination.messages import Action, Request
 from sycamorebay.protocol.headers import Headers
-from sycamorebay.transport.hedging import Race
-from sycamorebay.transport.upstream import BackendAnswer, CutOffError
+from sycamorebay.transport.forwarding.hedging import Race
+from sycamorebay.transport.forwarding.upstream import BackendAnswer, CutOffError
 
 _log = log.part("forward")
 
--- a/src/sycamorebay/transport/forward.py
+++ b/src/sycamorebay/transport/forwarding/forward.py
@@ -34,22 +34,22 @@
 )
 from sycamorebay.protocol.problem import problem_body, problem_headers
 from sycamorebay.state.operations import KeptAnswer
-from sycamorebay.transport.exchange import (
+from sycamorebay.transport.forwarding.exchange import (
     Exchange,
     ForwardedBody,
     IncomingRequest,
     OutgoingAnswer,
 )
-from sycamorebay.transport.hedging import Race
-from sycamorebay.transport.inquire import Inquirer
-from sycamorebay.transport.operate import Forwarding, OperationRunner
-from sycamorebay.transport.upstream import (
+from sycamorebay.transport.forwarding.hedging import Race
+from sycamorebay.transport.forwarding.upstream import (
     AttemptError,
     BackendAnswer,
     CallerBodyError,
     OutgoingRequest,
     Upstream,
 )
+from sycamorebay.transport.operations.inquire import Inquirer
+from sycamorebay.transport.operations.operate import Forwarding, OperationRunner
 
 MAX_REPLAYABLE_BYTES = 65_536
 WAIT_GRACE_S = 0.5
--- a/src/sycamorebay/transport/front.py
+++ b/src/sycamorebay/transport/forwarding/front.py
@@ -15,10 +15,10 @@
 from sycamorebay.protocol.headers import Headers
 from sycamorebay.protocol.request_head import host_name
 from sycamorebay.settings import CallerLimits, Listen
-from sycamorebay.transport.caller_protocol import CONNECTION, CallerProtocol, Listener
-from sycamorebay.transport.exchange import ForwardedBody, OutgoingAnswer, StartedBody
-from sycamorebay.transport.forward import Forwarder
-from sycamorebay.transport.upstream import CallerBodyError, CutOffError
+from sycamorebay.transport.forwarding.caller_protocol import CONNECTION, CallerProtocol, Listener
+from sycamorebay.transport.forwarding.exchange import ForwardedBody, OutgoingAnswer, StartedBody
+from sycamorebay.transport.forwarding.forward import Forwarder
+from sycamorebay.transport.forwarding.upstream import CallerBodyError, CutOffError
 
 _log = log.part("front")
 
--- a/src/sycamorebay/transport/probing.py
+++ b/src/sycamorebay/transport/forwarding/probing.py
@@ -12,7 +12,7 @@
 from sycamorebay.metrics import Metrics
 from sycamorebay.protocol.headers import load_report
 from sycamorebay.state.backends import LoadReport
-from sycamorebay.transport.upstream import AttemptError, OutgoingRequest, Upstream
+from sycamorebay.transport.forwarding.upstream import AttemptError, OutgoingRequest, Upstream
 
 LOAD_TARGET = "/load"
 PROBE_TIMEOUT_S = 0.5
--- /dev/null
+++ b/src/sycamorebay/transport/operations/__init__.py
@@ -0,0 +1,1 @@
+"""Keyed operations: their ranges, their sends, and inquiries about them."""
--- a/src/sycamorebay/transport/inquire.py
+++ b/src/sycamorebay/transport/operations/inquire.py
@@ -19,7 +19,7 @@
     encode_inquiry,
     encode_reply,
 )
-from sycamorebay.transport.peers import PeerNetwork
+from sycamorebay.transport.peering.peers import PeerNetwork
 
 ASK_TIMEOUT_S = 0.5
 LIST_TIMEOUT_S = 0.5
--- a/src/sycamorebay/transport/keyed.py
+++ b/src/sycamorebay/transport/operations/keyed.py
@@ -12,10 +12,10 @@
 from sycamorebay.coordination.membership import Membership
 from sycamorebay.coordination.operations import Operations
 from sycamorebay.settings import Settings
-from sycamorebay.transport.inquire import Inquirer, NetworkPeers
-from sycamorebay.transport.peers import PeerNetwork
-from sycamorebay.transport.platform import open_store
-from sycamorebay.transport.ranges import RangeRegistry, for_ranges
+from sycamorebay.transport.configuration.platform import open_store
+from sycamorebay.transport.operations.inquire import Inquirer, NetworkPeers
+from sycamorebay.transport.operations.ranges import RangeRegistry, for_ranges
+from sycamorebay.transport.peering.peers import PeerNetwork
 
 
 @attrs.frozen
--- a/src/sycamorebay/transport/operate.py
+++ b/src/sycamorebay/transport/operations/operate.py
@@ -26,14 +26,14 @@
 from sycamorebay.protocol import headers as names
 from sycamorebay.protocol.headers import header_value
 from sycamorebay.state.operations import KeptAnswer, OperationKey
-from sycamorebay.transport.exchange import (
+from sycamorebay.transport.forwarding.exchange import (
     Exchange,
     ForwardedBody,
     OutgoingAnswer,
     StartedBody,
 )
-from sycamorebay.transport.inquire import Inquirer
-from sycamorebay.transport.upstream import CutOffError
+from sycamorebay.transport.forwarding.upstream import CutOffError
+from sycamorebay.transport.operations.inquire import Inquirer
 
 MAX_KEPT_ANSWER_BYTES = 16_384
 
--- a/src/sycamorebay/transport/ranges.py
+++ b/src/sycamorebay/transport/operations/ranges.py
@@ -15,7 +15,7 @@
 from sycamorebay.coordination.ranges import EntryRange
 from sycamorebay.errors import PlatformError
 from sycamorebay.settings import OperationSettings, PlatformSettings
-from sycamorebay.transport.platform import Listing, Store
+from sycamorebay.transport.configuration.platform import Listing, Store
 
 EXTEND_S = 30.0
 RETRY_S = 1.0
--- /dev/null
+++ b/src/sycamorebay/transport/peering/__init__.py
@@ -0,0 +1,1 @@
+"""Links between entries, and what is told over them."""
--- a/src/sycamorebay/transport/heartbeats.py
+++ b/src/sycamorebay/transport/peering/heartbeats.py
@@ -21,9 +21,9 @@
 from sycamorebay.protocol.heartbeats import check_heartbeat, heartbeat_of, members_of, news_of
 from sycamorebay.settings import Settings
 from sycamorebay.transport.clock import boottime
-from sycamorebay.transport.in_force import RevisionInForce
-from sycamorebay.transport.news import NewsExchange
-from sycamorebay.transport.peers import PeerNetwork
+from sycamorebay.transport.configuration.in_force import RevisionInForce
+from sycamorebay.transport.peering.news import NewsExchange
+from sycamorebay.transport.peering.peers import PeerNetwork
 
 ANSWER_LIMIT_S = 2.0
 FETCH_LIMIT_S = 4.0
--- a/src/sycamorebay/transport/news.py
+++ b/src/sycamorebay/transport/peering/news.py
@@ -13,7 +13,7 @@
 from sycamorebay.coordination.news import LeavingNews, News
 from sycamorebay.coordination.pace import Backoff
 from sycamorebay.errors import PlatformError
-from sycamorebay.transport.platform import Vm, VmList
+from sycamorebay.transport.configuration.platform import Vm, VmList
 
 _LOOK_S = 0.25
 
--- a/src/sycamorebay/transport/peer_messages.py
+++ b/src/sycamorebay/transport/peering/peer_messages.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from sycamorebay.protocol.generated.peers.ttypes import Body
-from sycamorebay.transport.peers import Handler
+from sycamorebay.transport.peering.peers import Handler
 
 
 class PeerMessages:
--- a/tests/broken_entry.py
+++ b/tests/broken_entry.py
@@ -13,7 +13,8 @@
 from sycamorebay.coordination.operations import Operations
 from sycamorebay.settings import load_settings
 from sycamorebay.state.operations import OperationKey, Phase
-from sycamorebay.transport import daemon, keyed
+from sycamorebay.transport.entry import daemon
+from sycamorebay.transport.operations import keyed
 
 DENIES = InquiryReply(Phase.TOMBSTONE)
 
--- a/tests/fake_store.py
+++ b/tests/fake_store.py
@@ -9,7 +9,7 @@
 import attrs
 
 from sycamorebay.errors import PlatformError
-from sycamorebay.transport.platform import Listing, Stored, Write
+from sycamorebay.transport.configuration.platform import Listing, Stored, Write
 
 
 @attrs.define
--- a/tests/one_entry.py
+++ b/tests/one_entry.py
@@ -20,9 +20,9 @@
 from sycamorebay.metrics import Metrics
 from sycamorebay.settings import CallerLimits, Listen, LogSettings
 from sycamorebay.state.document import Document, load_document
-from sycamorebay.transport.forward import Forwarder
-from sycamorebay.transport.front import caller_server
-from sycamorebay.transport.upstream import Upstream, open_upstream
+from sycamorebay.transport.forwarding.forward import Forwarder
+from sycamorebay.transport.forwarding.front import caller_server
+from sycamorebay.transport.forwarding.upstream import Upstream, open_upstream
 from tests.support import lone_operations
 
 ROUTES = [
--- a/tests/support.py
+++ b/tests/support.py
@@ -5,6 +5,7 @@
 import asyncio
 import functools
 import json
+import sys
 import time
 from collections.abc import Callable, Coroutine
 from random import Random
@@ -17,9 +18,10 @@
 from sycamorebay.coordination.operations import Operations
 from sycamorebay.settings import OperationSettings
 from sycamorebay.state.document import Document, load_document
-from sycamorebay.transport.inquire import Inquirer, NoPeers
+from sycamorebay.transport.operations.inquire import Inquirer, NoPeers
 
 DOMAINS = ("a", "b")
+_WATCH_S = 0.01
 ROUTES = [
     {"methods": ["GET", "HEAD"], "path": "/prices", "idempotent": True, "deadline_ms": 2000},
     {"methods": ["GET"], "path": "/bytes", "idempotent": True, "deadline_ms": 20000},
@@ -28,15 +30,38 @@
 
 
 def asynchronous(test: Callable[..., Coroutine[Any, Any, None]]) -> Callable[..., None]:
-    """Run a test that is a coroutine, within a minute."""
+    """Run a test that is a coroutine, within a minute.
+
+    Where it fails, the longest time in which its loop was not run is told: a busy machine shows.
+    """
 
     @functools.wraps(test)
     def run(*args: Any) -> None:
-        asyncio.run(asyncio.wait_for(test(*args), 60))
+        pauses = [0.0]
+        try:
+            asyncio.run(asyncio.wait_for(_watched(test(*args), pauses), 60))
+        except BaseException:
+            longest = sorted(pauses)[-3:]
+            print(f"longest pauses of the loop, in seconds: {longest}", file=sys.stderr)
+            raise
 
     return run
 
 
+async def _watched(test: Coroutine[Any, Any, None], pauses: list[float]) -> None:
+    async def watch() -> None:
+        while True:
+            before = time.monotonic()
+            await asyncio.sleep(_WATCH_S)
+            pauses.append(round(time.monotonic() - before - _WATCH_S, 3))
+
+    watching = asyncio.create_task(watch())
+    try:
+        await test
+    finally:
+        watching.cancel()
+
+
 def raw_document(servers: int = 4) -> dict[str, Any]:
     """Return a document of one service, without addresses."""
     return {"format": 1, "services": [service("desk", servers, 2, DOMAINS, ROUTES)]}
--- a/tests/test_configuration_changes.py
+++ b/tests/test_configuration_changes.py
@@ -10,8 +10,8 @@
 from sycamorebay.protocol.reports import Report, encode_report, report_key
 from sycamorebay.protocol.revisions import MAX_TRAIL_ENTRIES
 from sycamorebay.settings import LogSettings
-from sycamorebay.transport import admin
-from sycamorebay.transport.admin import Change
+from sycamorebay.transport.configuration import admin
+from sycamorebay.transport.configuration.admin import Change
 from tests.fake_store import FakeStore
 from tests.support import asynchronous, document_text
 
--- a/tests/test_configuration_conformance.py
+++ b/tests/test_configuration_conformance.py
@@ -18,9 +18,9 @@
 from sycamorebay.errors import ConflictError, PlatformError, UnsettledError
 from sycamorebay.protocol.keys import members_prefix
 from sycamorebay.settings import FreshnessSettings, LogSettings
-from sycamorebay.transport import admin
-from sycamorebay.transport.admin import Change
-from sycamorebay.transport.registration import Registration
+from sycamorebay.transport.configuration import admin
+from sycamorebay.transport.configuration.admin import Change
+from sycamorebay.transport.configuration.registration import Registration
 from tests.fake_store import FakeStore
 from tests.support import asynchronous, document_text
 
--- a/tests/test_configuration_replacing.py
+++ b/tests/test_configuration_replacing.py
@@ -11,9 +11,9 @@
 from sycamorebay import log
 from sycamorebay.errors import ConflictError, PlatformError, UnsettledError
 from sycamorebay.settings import LogSettings, PlatformSettings
-from sycamorebay.transport import admin
-from sycamorebay.transport.admin import Change
-from sycamorebay.transport.platform import open_store
+from sycamorebay.transport.configuration import admin
+from sycamorebay.transport.configuration.admin import Change
+from sycamorebay.transport.configuration.platform import open_store
 from tests.fast_fleet import ENTRIES, FAST, changed, get
 from tests.support import asynchronous, document_text, small_shape
 
--- a/tests/test_forward_endings.py
+++ b/tests/test_forward_endings.py
@@ -7,7 +7,7 @@
 import testtools
 
 from sycamorebay.coordination.messages import Enqueue
-from sycamorebay.transport.exchange import ForwardedBody
+from sycamorebay.transport.forwarding.exchange import ForwardedBody
 from tests.one_entry import Exchange, OneEntry, answer, answer_ok, eventually, on_uvloop, one_entry
 
 HEAD = b"HTTP/1.1 200 OK\r\ncontent-length: 1000000\r\n\r\n"
--- a/tests/test_forward_first_byte.py
+++ b/tests/test_forward_first_byte.py
@@ -10,7 +10,7 @@
 import aiohttp
 import testtools
 
-from sycamorebay.transport.upstream import AiohttpUpstream, AttemptError, OutgoingRequest
+from sycamorebay.transport.forwarding.upstream import AiohttpUpstream, AttemptError, OutgoingRequest
 from tests.one_entry import OK, Exchange, OneEntry, ScriptedBackend, answer_ok, on_uvloop, one_entry
 
 GET = "/prices/1"
--- a/tests/test_hedge.py
+++ b/tests/test_hedge.py
@@ -19,7 +19,7 @@
     Request,
     Send,
 )
-from sycamorebay.transport.hedging import Race
+from sycamorebay.transport.forwarding.hedging import Race
 from tests.support import asynchronous, dispatcher, small_shape
 
 LATE = 1.0
--- a/tests/test_operations_ranges.py
+++ b/tests/test_operations_ranges.py
@@ -9,9 +9,9 @@
 from sycamorebay.coordination.ranges import EntryRange
 from sycamorebay.errors import PlatformError
 from sycamorebay.settings import OperationSettings
-from sycamorebay.transport import ranges
-from sycamorebay.transport.platform import Listing, Stored, Write
-from sycamorebay.transport.ranges import RangeRegistry
+from sycamorebay.transport.configuration.platform import Listing, Stored, Write
+from sycamorebay.transport.operations import ranges
+from sycamorebay.transport.operations.ranges import RangeRegistry
 from tests.fake_store import FakeStore
 from tests.support import asynchronous, member
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -33,7 +33,7 @@
 )
 from sycamorebay.settings import Listen, LogSettings
 from sycamorebay.state.document import MAX_DOCUMENT_BYTES
-from sycamorebay.transport.peers import PeerNetwork
+from sycamorebay.transport.peering.peers import PeerNetwork
 from tests.support import asynchronous
 
 log.configure(LogSettings(level="critical"))
--- a/tests/test_platform_outage.py
+++ b/tests/test_platform_outage.py
@@ -8,8 +8,8 @@
 
 from bench.fleet import Fleet
 from sycamorebay.settings import PlatformSettings
-from sycamorebay.transport import admin
-from sycamorebay.transport.platform import Store, open_store
+from sycamorebay.transport.configuration import admin
+from sycamorebay.transport.configuration.platform import Store, open_store
 from tests.fast_fleet import ENTRIES, FAST, changed, get
 from tests.support import asynchronous, small_shape
 
--- a/tests/test_platform_registration.py
+++ b/tests/test_platform_registration.py
@@ -13,7 +13,7 @@
 from sycamorebay.protocol.keys import members_prefix
 from sycamorebay.protocol.reports import decode_report, report_key
 from sycamorebay.settings import LogSettings
-from sycamorebay.transport.registration import Registration
+from sycamorebay.transport.configuration.registration import Registration
 from tests.fake_store import FakeStore
 from tests.support import asynchronous
 
--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -3,7 +3,7 @@
 import testtools
 
 from sycamorebay.settings import Listen, PeerSettings, PlatformSettings, Settings
-from sycamorebay.transport.daemon import Daemon
+from sycamorebay.transport.entry.daemon import Daemon
 from tests.support import asynchronous
 
 NOWHERE = Listen("127.0.0.1", 1)
