Give the store's stand-in leases, lost answers and refused machines; find ports safely

The gateway's task had ended and ready() waited on. Ports now lie below that range, are free for datagrams too, and ready() raises what ended a gateway. - a request with 504 and a store call timed out: the loop's longest pause was 1.145 s in the failing run, 0.06 s in others. The tests now ask what they claim, whatever the pause: that every request has a server (within the route's 8 s), and that the store rejected no call.

An earlier unexplained failure of one of 44 gateway tests, whose output was lost, did not come back in 24 runs; a lost port explains it but wasn't shown for it.

Measured: test_gateway_faults, 16 tests.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -11,7 +11,7 @@
 import json
 import time
 from collections import Counter, deque
-from typing import Any
+from typing import Any, NoReturn
 
 import attrs
 import click
@@ -163,6 +163,11 @@
         for number in [n for n, lease in self._leases.items() if lease.until < now]:
             self._end_lease(number)
 
+    def put_off_leases(self, seconds: float) -> None:
+        """Let all leases run longer."""
+        for lease in self._leases.values():
+            lease.until += seconds
+
     def events_since(self, revision: int) -> list[dict[str, Any]]:
         """Return the events from a revision on."""
         return [event for number, event in self._events if number >= revision]
@@ -251,7 +256,7 @@
             reply = handle(body)
             if self.platform.faults.lose_answers > 0:
                 self.platform.faults.lose_answers -= 1
-                _drop(request)
+                drop(request)
             return web.json_response(reply)
 
         return answer
@@ -260,7 +265,7 @@
         faults = self.platform.faults
         self.platform.count(kind)
         if faults.down:
-            _drop(request)
+            drop(request)
         await self._while_hung()
         if faults.slow_s:
             await asyncio.sleep(faults.slow_s)
@@ -288,7 +293,7 @@
                 if start <= base64.b64decode(event["kv"]["key"]) < end:
                     header = self.platform.header()
                     await _write(response, {"result": {"header": header, "events": [event]}})
-            _drop(request)
+            drop(request)
         except ConnectionError:
             pass
         finally:
@@ -330,7 +335,8 @@
         task.cancel()
 
 
-def _drop(request: web.Request) -> None:
+def drop(request: web.Request) -> NoReturn:
+    """Reset a request's connection."""
     if request.transport is not None:
         request.transport.abort()
     raise ConnectionResetError
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import os
+import random
 import socket
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -25,6 +26,9 @@
 from sycamorebay.transport.gateway.settings import GatewaySettings
 
 HOST = "desk.test"
+_PORTS = (10_240, 32_000)
+# Seeded by the system, so that two test processes look at different ports.
+_RNG = random.SystemRandom()
 
 structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
 
@@ -60,9 +64,21 @@
 
 
 def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a port that is free for streams and datagrams.
+
+    It lies below those that the kernel gives to outgoing connections: one of these may take a port
+    between this look and the bind.
+    """
+    while True:
+        port = _RNG.randrange(*_PORTS)
+        with (
+            contextlib.suppress(OSError),
+            socket.socket() as stream,
+            socket.socket(type=socket.SOCK_DGRAM) as datagrams,
+        ):
+            for one in (stream, datagrams):
+                one.bind(("127.0.0.1", port))
+            return port
 
 
 @attrs.define
@@ -145,6 +161,19 @@
         self.store.put(f"servers/{server_id}", server.entry(service))
         return server
 
+    def keep_entry(self, server_id: str, ttl_s: float) -> None:
+        """Have a server's entry lie under a lease that it renews, or writes anew once it ended."""
+        task = asyncio.create_task(self._keep_entry(self.servers_by_id[server_id], ttl_s))
+        self._stack.callback(task.cancel)
+
+    async def _keep_entry(self, server: ScriptedServer, ttl_s: float) -> None:
+        lease = 0
+        while True:
+            if not lease or not self.store.keep_alive(lease):
+                lease = self.store.grant(ttl_s)
+                self.store.put(f"servers/{server.id}", server.entry("desk"), lease)
+            await asyncio.sleep(ttl_s / 3)
+
     async def gateway(self, **changes: Any) -> Gateway:
         number = len(self.gateways)
         ports = [f"127.0.0.1:{free_port()}" for _ in range(4)]
@@ -176,9 +205,11 @@
         return gateway
 
     async def ready(self) -> None:
-        """Wait until every gateway is ready."""
-        for settings in self.settings:
-            await eventually(lambda s=settings: self.is_ready(s))
+        """Wait until every gateway is ready; raises what ended one instead."""
+        for settings, task in zip(self.settings, self._tasks, strict=True):
+            await eventually(lambda s=settings, t=task: t.done() or self.is_ready(s))
+            if task.done():
+                await task
 
     async def is_ready(self, settings: GatewaySettings) -> bool:
         try:
--- a/tests/test_gateway_faults.py
+++ b/tests/test_gateway_faults.py
@@ -56,6 +56,63 @@
                 self.assertTrue(await is_moved(), index)
                 await asyncio.sleep(0.1)
 
+    async def endings(self, leases_pause: bool) -> Counter:
+        """Return how requests end over an outage that outlasts the servers' leases."""
+        # A request may take long on a busy machine; what counts is that it has a server.
+        patient = config(1, safe=route("safe", timeout="8000ms"))
+        async with fleet(servers=2, gateways=2, document=patient) as started:
+            for server_id in started.servers_by_id:
+                started.keep_entry(server_id, ttl_s=1.0)
+            await asyncio.sleep(0.5)
+            caller, endings = await started.caller(), Counter()
+            started.store.faults.leases_pause = leases_pause
+            for silent in (True, False):
+                started.store.faults.silent = silent
+                for index in range(60):
+                    answer = await caller.ask(f"r{silent}{index}", deadline_ms=8000)
+                    endings[answer.status, answer.body if answer.status != 200 else b""] += 1
+                    await asyncio.sleep(0.06)
+            return endings
+
+    @asynchronous
+    async def test_leases_that_end_in_an_outage_take_no_server_away(self):
+        self.assertEqual({(200, b""): 120}, await self.endings(leases_pause=False))
+
+    @asynchronous
+    async def test_leases_that_pause_in_an_outage_take_no_server_away(self):
+        self.assertEqual({(200, b""): 120}, await self.endings(leases_pause=True))
+
+    @asynchronous
+    async def test_answers_of_the_store_that_are_lost_lose_no_change(self):
+        async with fleet(servers=1) as started:
+            dock = await started.server("d0", "dock")
+            started.store.faults.lose_answers = 3
+            started.store.put("op/config", moved(2))
+            caller = await started.caller()
+
+            async def is_moved() -> bool:
+                before = len(dock.seen)
+                await caller.ask("r")
+                return len(dock.seen) > before
+
+            await eventually(is_moved, APPLY_S + 1.0)
+            self.assertEqual(0, started.store.faults.lose_answers)
+
+    @asynchronous
+    async def test_a_machine_that_the_store_refuses_hears_changes_from_its_peers(self):
+        async with gateways(3) as started:
+            dock = await started.fleet.server("d0", "dock", script=who)
+            port = dock.address.rpartition(":")[2].encode()
+            for refused in range(2):
+                started.fleet.store.faults.refused_callers = {started.address(refused)}
+                await asyncio.sleep(0.5)
+                document = moved(2) if refused == 0 else config(3, safe=route("safe"))
+                started.fleet.store.put("op/config", document)
+                await asyncio.sleep(APPLY_S)
+                caller = await started.connect(refused)
+                answer = await caller.ask("r")
+                self.assertEqual(refused == 0, answer.body == port)
+
     @asynchronous
     async def test_daemons_that_start_together_stay_within_the_rate_of_the_store(self):
         async with fleet(servers=1) as started:
@@ -63,8 +120,7 @@
             for _ in range(12):
                 await started.gateway()
             await started.ready()
-            failures = sum(gateway._counters.store_failures for gateway in started.gateways)
-            self.assertEqual(0, failures)
+            self.assertEqual(0, started.store.rejected)
 
 
 class SilenceTest(testtools.TestCase):
