Give the servers' stand-in slots, a queue and early answers, and one copy of each script

Change: standins/scripts.py has shed, run_and_reset, run_and_stay_silent, garble, after and Slots (slots, a queue, a told load); ScriptedServer may answer early.

Not a change of src.

--- a/standins/scripted.py
+++ b/standins/scripted.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import re
 from collections.abc import Awaitable, Callable
 
 import attrs
 
-_LENGTH = re.compile(rb"\r\ncontent-length: *([0-9]+)", re.IGNORECASE)
+# Between an early answer and the reading of the rest of its request.
+EARLY_S = 0.2
 
 
 @attrs.frozen
@@ -80,6 +80,15 @@
         Its id in the store.
     script : callable, optional
         Answers a request.
+
+    Attributes
+    ----------
+    load : callable
+        Returns what the server tells of its load.
+    slots : int
+        Requests that it says it runs at once.
+    answers_early : bool
+        Whether it answers a request before it reads the body.
     """
 
     def __init__(self, server_id: str, script: Script = answer_all) -> None:
@@ -89,7 +98,9 @@
         self.cancelled = 0
         self.connections = 0
         self.address = ""
-        self.load = "0,0,4,100"
+        self.load: Callable[[], str] = lambda: "0,0,4,100"
+        self.slots = 4
+        self.answers_early = False
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -105,7 +116,7 @@
 
     def entry(self, service: str, **status: object) -> dict[str, object]:
         """Return what the server says of itself in the store."""
-        info = {"backend": service, "zone": "a", "version": "v1", "capacity": 4}
+        info = {"backend": service, "zone": "a", "version": "v1", "capacity": self.slots}
         said = {"state": "ready", "seq": 1, "warmup_time": "0ms", **status}
         return {"addr": self.address, "info": info, "status": said}
 
@@ -115,14 +126,15 @@
         line = Line(writer)
         try:
             while not line.closed:
-                seen = await _read(reader, number)
+                seen = await self._read(reader, number, line)
                 if seen.target == "/healthz":
                     head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
-                    marks = f"Sycamorebay-Instance-Id: {self.id}\r\nSycamorebay-Load: {self.load}"
+                    marks = f"Sycamorebay-Instance-Id: {self.id}\r\nSycamorebay-Load: {self.load()}"
                     line.raw(f"{head}{marks}\r\n\r\n".encode())
                     continue
                 self.seen.append(seen)
-                await self._run(seen, line, reader)
+                if not self.answers_early:
+                    await self._run(seen, line, reader)
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         except asyncio.CancelledError:
@@ -131,6 +143,19 @@
         finally:
             writer.close()
 
+    async def _read(self, reader: asyncio.StreamReader, connection: int, line: Line) -> Seen:
+        head = await reader.readuntil(b"\r\n\r\n")
+        first, *rest = head.decode("latin-1").split("\r\n")
+        method, target, _ = first.split(" ", 2)
+        pairs = [line.partition(":") for line in rest if line]
+        headers = {name.lower(): value.strip() for name, _, value in pairs}
+        length = int(headers.get("content-length", "0"))
+        if self.answers_early and target != "/healthz":
+            await self.script(Seen(method, target, headers, b"", connection), line)
+            await asyncio.sleep(EARLY_S)
+        body = await reader.readexactly(length)
+        return Seen(method, target, headers, body, connection)
+
     async def _run(self, seen: Seen, line: Line, reader: asyncio.StreamReader) -> None:
         """Run the script, and stop it when the connection ends."""
         work = asyncio.ensure_future(self.script(seen, line))
@@ -142,14 +167,3 @@
                 line.closed = True
                 return
         work.result()
-
-
-async def _read(reader: asyncio.StreamReader, connection: int) -> Seen:
-    head = await reader.readuntil(b"\r\n\r\n")
-    found = _LENGTH.search(head)
-    body = await reader.readexactly(int(found[1])) if found else b""
-    first, *rest = head.decode("latin-1").split("\r\n")
-    method, target, _ = first.split(" ", 2)
-    pairs = [line.partition(":") for line in rest if line]
-    headers = {name.lower(): value.strip() for name, _, value in pairs}
-    return Seen(method, target, headers, body, connection)
--- a/tests/test_gateway_faults.py
+++ b/tests/test_gateway_faults.py
@@ -13,6 +13,7 @@
 import testtools
 
 from standins.scripted import Line, Seen
+from standins.scripts import run_and_stay_silent
 from tests.gateway_fleet import config, eventually, fleet, free_port, route
 from tests.gateway_processes import Gateways, gateways
 from tests.support import asynchronous
@@ -143,13 +144,10 @@
     async def test_a_connection_that_goes_silent_costs_no_safe_request_its_answer(self):
         async with fleet(servers=2) as started:
 
-            async def silent(_seen: Seen, _line: Line) -> None:
-                await asyncio.sleep(30)
-
             caller = await started.caller()
             for index in range(20):
                 await caller.ask(f"w{index}")
-            started.servers_by_id["s0"].script = silent
+            started.servers_by_id["s0"].script = run_and_stay_silent
             for index in range(6):
                 self.assertEqual(200, (await caller.ask(f"r{index}")).status)
 
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -6,14 +6,11 @@
 import testtools
 
 from standins.scripted import Line, Seen
+from standins.scripts import run_and_reset, run_and_stay_silent, shed
 from tests.gateway_fleet import config, eventually, fleet, route
 from tests.support import asynchronous
 
 
-async def run_and_reset(seen: Seen, line: Line) -> None:
-    line.reset()
-
-
 class NeverTwiceTest(testtools.TestCase):
     """A request that isn't idempotent reaches a server once, whatever its method."""
 
@@ -82,12 +79,12 @@
     @asynchronous
     async def test_an_unsafe_request_moves_on_only_after_the_server_says_not_run(self):
         async with fleet(servers=2) as started:
-            shed: list[str] = []
+            shed_ids: list[str] = []
 
             async def shed_first(seen: Seen, line: Line) -> None:
-                if not shed:
-                    shed.append(seen.request_id)
-                    line.answer(seen, 503, headers={"Sycamorebay-Not-Executed": "1"}, signed=False)
+                if not shed_ids:
+                    shed_ids.append(seen.request_id)
+                    await shed(seen, line)
                 else:
                     line.answer(seen)
 
@@ -100,9 +97,6 @@
     async def test_a_refusal_says_not_run_only_where_no_server_may_have_run_it(self):
         async with fleet(servers=2) as started:
 
-            async def shed(seen: Seen, line: Line) -> None:
-                line.answer(seen, 503, headers={"Sycamorebay-Not-Executed": "1"}, signed=False)
-
             for server in started.servers_by_id.values():
                 server.script = shed
             answer = await (await started.caller()).ask("r1", "/unsafe/x", "POST", b"bid")
@@ -230,11 +224,8 @@
     async def test_the_route_timeout_ends_a_request(self):
         async with fleet(servers=1, document=config(unsafe=route("unsafe", timeout="200ms"))) as f:
 
-            async def silent(_seen: Seen, _line: Line) -> None:
-                await asyncio.sleep(5)
-
             server = f.servers_by_id["s0"]
-            server.script = silent
+            server.script = run_and_stay_silent
             started = asyncio.get_running_loop().time()
             answer = await (await f.caller()).ask("r1", "/unsafe/x", "POST", b"x")
             waited = asyncio.get_running_loop().time() - started
@@ -288,10 +279,7 @@
     async def test_a_send_that_ran_out_of_time_names_its_server(self):
         async with fleet(servers=1, document=config(unsafe=route("unsafe", timeout="150ms"))) as f:
 
-            async def silent(_seen: Seen, _line: Line) -> None:
-                await asyncio.sleep(5)
-
-            f.servers_by_id["s0"].script = silent
+            f.servers_by_id["s0"].script = run_and_stay_silent
             before = structlog.get_config()
             self.addCleanup(structlog.configure, **before)
             structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(20))
--- a/tests/test_gateway_store.py
+++ b/tests/test_gateway_store.py
@@ -5,6 +5,7 @@
 import testtools
 
 from standins.scripted import Line, Seen
+from standins.scripts import shed
 from sycamorebay.transport.gateway import following
 from tests.gateway_fleet import Fleet, config, eventually, fleet, route
 from tests.support import asynchronous
@@ -95,9 +96,6 @@
     async def statuses(self, started: Fleet) -> set[int]:
         """Return how requests end while the other server sheds all of its own."""
 
-        async def shed(seen: Seen, line: Line) -> None:
-            line.answer(seen, 503, headers={"Sycamorebay-Not-Executed": "1"}, signed=False)
-
         started.servers_by_id["s1"].script = shed
         caller = await started.caller()
         return {(await caller.ask(f"r{index}")).status for index in range(8)}
