--- /dev/null
+++ b/src/sycamorebay/platform/program.py
@@ -0,0 +1,50 @@
+"""The program that runs a gateway on the users' platform."""
+
+from __future__ import annotations
+
+import sys
+
+import uvloop
+
+from sycamorebay import log
+from sycamorebay.errors import SettingsError
+from sycamorebay.platform.boot import BOOT_VARIABLE, boot_path, read_boot
+from sycamorebay.platform.documents import PlatformDocuments
+from sycamorebay.platform.marks import PlatformDialect
+from sycamorebay.platform.store import PlatformStore
+from sycamorebay.transport.gateway.gateway import Gateway, settle_collector
+from sycamorebay.transport.gateway.lines import LineWriter
+from sycamorebay.transport.gateway.settings import GatewaySettings
+
+EXIT_BAD_SETTINGS = 2
+
+
+async def serve(settings: GatewaySettings, store_address: str, lines: LineWriter) -> None:
+    """Run one gateway until it is told to stop."""
+    gateway = Gateway(
+        settings,
+        PlatformDialect(),
+        PlatformDocuments(),
+        lambda pool, counters: PlatformStore(store_address, pool, counters),
+        lines,
+    )
+    settle_collector()
+    await gateway.run()
+
+
+def run() -> int:
+    """Read the settings that the platform names, and serve."""
+    path = boot_path()
+    if not path:
+        print(f"{BOOT_VARIABLE}: not set; it names the settings file", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    try:
+        settings, store_address = read_boot(path)
+    except SettingsError as error:
+        for fault in error.faults:
+            print(f"{path}: {fault.path}: {fault.allowed}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    lines = LineWriter(sys.stdout.fileno())
+    log.configure_lines(lines)
+    uvloop.run(serve(settings, store_address, lines))
+    return 0
--- a/tests/gateway_processes.py
+++ b/tests/gateway_processes.py
@@ -75,7 +75,11 @@
         self.processes[number].send_signal(which)
 
     async def ready(self, number: int) -> None:
-        await eventually(lambda: self.is_ready(number), 20.0)
+        """Wait until a gateway is ready; raises where it ended instead."""
+        process = self.processes[number]
+        await eventually(lambda: process.returncode is not None or self.is_ready(number), 20.0)
+        if process.returncode is not None:
+            raise ChildProcessError(f"gateway {number} ended with {process.returncode}")
 
     async def is_ready(self, number: int) -> bool:
         try:
@@ -102,8 +106,11 @@
 
 
 @asynccontextmanager
-async def gateways(count: int, servers: int = 1) -> AsyncIterator[Gateways]:
-    """Start a store, servers ``s0``, ``s1``, ... of the service ``desk``, and gateways."""
+async def gateways(count: int, servers: int = 1, wait: bool = True) -> AsyncIterator[Gateways]:
+    """Start a store, servers ``s0``, ``s1``, ... of the service ``desk``, and gateways.
+
+    Where there are no servers yet no gateway gets ready, and `wait` has to be False.
+    """
     fleet = Fleet()
     with tempfile.TemporaryDirectory() as folder:
         try:
@@ -116,7 +123,7 @@
             try:
                 for number in range(count):
                     await started.start(number)
-                for number in range(count):
+                for number in range(count if wait else 0):
                     await started.ready(number)
                 yield started
             finally:
--- a/tests/test_gateway_faults.py
+++ b/tests/test_gateway_faults.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from collections.abc import Iterator
 from contextlib import contextmanager
+from pathlib import Path
 from unittest import mock
 
 import testtools
@@ -231,6 +232,14 @@
             self.assertEqual(["moved"], [seen.request_id for seen in dock.seen])
 
 
+def takes_hang_up(process: Path) -> bool:
+    """Return whether a process ignores or handles SIGHUP."""
+    status = (process / "status").read_text()
+    masks = [line.split() for line in status.splitlines()]
+    taken = [int(fields[1], 16) for fields in masks if fields[0] in ("SigIgn:", "SigCgt:")]
+    return any(mask & 1 << (signal.SIGHUP - 1) for mask in taken)
+
+
 class ProcessTest(testtools.TestCase):
     async def body(self, started: Gateways, number: int) -> bytes:
         caller = await started.connect(number)
@@ -269,6 +278,16 @@
                 self.assertEqual(port, await self.body(started, number))
             self.assertLess(time.monotonic() - restarted, RECOVER_S)
 
+    @asynchronous
+    async def test_a_hang_up_while_the_program_loads_does_not_end_it(self):
+        async with gateways(1) as started:
+            await started.start(1)
+            process = Path(f"/proc/{started.processes[1].pid}")
+            await eventually(lambda: takes_hang_up(process), 20.0)
+            self.assertNotIn("uvloop", (process / "maps").read_text())
+            started.signal(1, signal.SIGHUP)
+            await started.ready(1)
+
     @asynchronous
     async def test_signals_in_a_row_end_it_once_and_well(self):
         async with gateways(1) as started:
