--- a/tests/gateway_soak/__main__.py
+++ b/tests/gateway_soak/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import sys
 
 import click
@@ -17,6 +18,8 @@
 @click.option("--seconds", type=float, default=15.0, help="Time with faults of each.")
 def main(first: int, seeds: int, seconds: float) -> None:
     """Play seeds and print what broke a promise."""
+    # The stand-in of the store resets connections by an error, which its server logs.
+    logging.disable(logging.CRITICAL)
     broken = 0
     for seed in range(first, first + seeds):
         history = asyncio.run(play(seed, seconds))
--- a/tests/gateway_soak/checks.py
+++ b/tests/gateway_soak/checks.py
@@ -11,7 +11,7 @@
 APPLY_S = 2.0
 SETTLE_S = 3.0
 DOWNGRADE_S = 0.25
-# Of a stop: new requests on open connections are answered so long.
+# Of a stop: requests on open connections are answered so long; later ones may cross the close.
 STOP_ANSWERS_S = 2.0
 RECOVER_S = 5.0
 MIN_SERVED_AFTER = 0.95
