--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 READY = $(VENV)/.ready
 
-.PHONY: install test check demo bench bench-policy capacity soak schema generate lock
+.PHONY: install test check demo bench bench-policy capacity soak gateway-soak schema generate lock
 
 install: $(READY)
 
@@ -40,6 +40,9 @@
 SEED ?= 1
 SECONDS ?= 600
 
+gateway-soak: install
+	$(BIN)/python -m tests.gateway_soak --first $(SEED) --seeds 50
+
 soak: install
 	$(BIN)/python -m bench.soak --seed $(SEED) --seconds $(SECONDS)
 
