--- a/tests/support.py
+++ b/tests/support.py
@@ -42,7 +42,7 @@
             asyncio.run(asyncio.wait_for(_watched(test(*args), pauses), 60))
         except BaseException:
             longest = sorted(pauses)[-3:]
-            print(f"longest pauses of the loop, in seconds: {longest}", file=sys.stderr)
+            print(f"{test.__qualname__}: longest pauses of its loop: {longest} s", file=sys.stderr)
             raise
 
     return run
