Allow one send more than there are failing servers in a test

A request may meet the shedding, the resetting and the garbling server one after another, and the test's route allowed three sends. The gateway kept to that bound, so the test was wrong.

Change: the route allows four; all 40 requests still have to succeed.

--- a/tests/test_gateway_servers.py
+++ b/tests/test_gateway_servers.py
@@ -6,7 +6,7 @@
 import testtools
 
 from standins.scripts import SHED_HEADERS, Slots, garble, run_and_reset, shed
-from tests.gateway_fleet import Answer, Fleet, config, fleet
+from tests.gateway_fleet import Answer, Fleet, config, fleet, route
 from tests.support import asynchronous
 
 LARGE_BODY = bytes(range(256)) * 16_384
@@ -83,7 +83,9 @@
 class FailingServersTest(testtools.TestCase):
     @asynchronous
     async def test_one_good_server_among_failing_ones_serves_what_is_safe(self):
-        async with fleet(servers=4) as started:
+        # One send more than there are failing servers.
+        document = config(1, safe=route("safe", attempts=4))
+        async with fleet(servers=4, document=document) as started:
             for server_id, script in (("s0", shed), ("s1", run_and_reset), ("s2", garble)):
                 started.servers_by_id[server_id].script = script
             caller = await started.caller()
