Reuse what the project had: background parts, the collector, framing, addresses, rows

Found by reading the whole change once more; behaviour stays.

- The gateway wrote "run again what failed" beside transport/entry/background.py, which does just that. background.py and collector.py moved to the top of transport/, beside clock.py; running() takes the pause before a restart, so the gateway keeps its 0.1 s and the entry daemon its 1 s.
A failed part's log line is now "background: task failed" (docs/OPERATIONS.md).
- gc.collect and gc.freeze stood twice: collector.spare_loaded.
The gateway still sets no thresholds.
- RawHeaders and the statuses without body stood two and three times: in protocol/names.py once.
- Items of the store as rows of JSON were written and read in two places each: directories.item_rows, read_rows.
- host:port was split in three places and joined in two: sockets.split_address, join_address.
- An answer's marks were decoded twice on the way of each request: _Reading keeps them.
- Ending a connection's open requests stood twice; Placer._place took two arguments that it never read; Pool.opened was counted and never read.
- Tests: one look whether a gateway is ready, one whether a request reaches a server, one note of a disturbance.
The soak's check of older configurations computed each version once for every pair of calls; now once a call.

Ruled out as twins: the hop-by-hop sets of the entry daemon and the gateway hold different names; a caller's and a server's answer carry different headers; max_conns is decoded and not used, but its check belongs to the reading.

--- a/bench/control.py
+++ b/bench/control.py
@@ -32,10 +32,10 @@
 from sycamorebay.metrics import Metrics
 from sycamorebay.settings import LogSettings, PlatformSettings, Settings
 from sycamorebay.state.backends import LoadReport
+from sycamorebay.transport.background import running
 from sycamorebay.transport.configuration import admin
 from sycamorebay.transport.configuration.admin import Change
 from sycamorebay.transport.configuration.platform import EtcdStore, open_store
-from sycamorebay.transport.entry.background import running
 from sycamorebay.transport.entry.control import Control
 
 SEED = 11
--- a/src/sycamorebay/coordination/placing.py
+++ b/src/sycamorebay/coordination/placing.py
@@ -230,7 +230,7 @@
         if not any(other.priority <= waiting.priority for other in pool.queue):
             chosen = self._choose(now, pool, waiting, self._may_wait_for_fast(now, waiting))
             if chosen is not None:
-                return self._place(now, pool, waiting, chosen)
+                return self._place(waiting, chosen)
         ahead = sum(1 for other in pool.queue if other.priority <= waiting.priority)
         if now + ahead * pool.start_gap_s > self._start_by(waiting):
             return self._turn_away(pool, waiting, "too many requests wait already")
@@ -250,7 +250,7 @@
         if pool.queue:
             return None
         chosen = self._choose(now, pool, waiting, in_goal=True)
-        return None if chosen is None else self._place(now, pool, waiting, chosen)
+        return None if chosen is None else self._place(waiting, chosen)
 
     def on_end(self, now: float, server_id: str) -> list[Decision]:
         """Free a slot; return what goes into it."""
@@ -293,7 +293,7 @@
             chosen = None if full else self._choose(now, pool, waiting, in_goal)
             if chosen is not None:
                 pool.on_start(now)
-                decisions.append(self._place(now, pool, waiting, chosen))
+                decisions.append(self._place(waiting, chosen))
             elif now > self._start_by(waiting):
                 reason = "no backend server became free in time"
                 decisions.append(self._turn_away(pool, waiting, reason))
@@ -335,7 +335,7 @@
             cost += NEW_CONNECTION_S
         return cost
 
-    def _place(self, now: float, pool: _Pool, waiting: Waiting, load: ServerLoad) -> Place:
+    def _place(self, waiting: Waiting, load: ServerLoad) -> Place:
         load.own += 1
         waiting.tried.add(load.entry.id)
         return Place(waiting.id, load.entry)
--- a/src/sycamorebay/platform/marks.py
+++ b/src/sycamorebay/platform/marks.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from sycamorebay.coordination.server_load import Report
-from sycamorebay.protocol.dialect import AnswerMarks, RawHeaders, RequestMarks
+from sycamorebay.protocol.dialect import AnswerMarks, RequestMarks
+from sycamorebay.protocol.names import RawHeaders
 
 _REQUEST_ID = b"sycamorebay-request-id"
 _DEADLINE = b"sycamorebay-deadline-ms"
--- a/src/sycamorebay/platform/program.py
+++ b/src/sycamorebay/platform/program.py
@@ -12,7 +12,8 @@
 from sycamorebay.platform.documents import PlatformDocuments
 from sycamorebay.platform.marks import PlatformDialect
 from sycamorebay.platform.store import PlatformStore
-from sycamorebay.transport.gateway.gateway import Gateway, settle_collector
+from sycamorebay.transport import collector
+from sycamorebay.transport.gateway.gateway import Gateway
 from sycamorebay.transport.gateway.lines import LineWriter
 from sycamorebay.transport.gateway.settings import GatewaySettings
 
@@ -28,7 +29,7 @@
         lambda pool, counters: PlatformStore(store_address, pool, counters),
         lines,
     )
-    settle_collector()
+    collector.spare_loaded()
     await gateway.run()
 
 
--- a/src/sycamorebay/protocol/dialect.py
+++ b/src/sycamorebay/protocol/dialect.py
@@ -7,8 +7,7 @@
 import attrs
 
 from sycamorebay.coordination.server_load import Report
-
-RawHeaders = list[tuple[bytes, bytes]]
+from sycamorebay.protocol.names import RawHeaders
 
 
 @attrs.frozen
--- a/src/sycamorebay/protocol/directories.py
+++ b/src/sycamorebay/protocol/directories.py
@@ -6,24 +6,27 @@
 import json
 import zlib
 from collections.abc import Iterable
+from typing import Any
 
 from sycamorebay.state.stored import Stored
 
+Row = list[str | int | None]
 
-def value_text(value: bytes | None) -> str | None:
-    """Return an item's value as JSON takes it."""
-    return None if value is None else base64.b64encode(value).decode()
+
+def item_rows(items: Iterable[Stored]) -> list[Row]:
+    """Return items as JSON takes them."""
+    return [[item.key, _text(item.value), item.version] for item in items]
 
 
-def value_bytes(value: str | None) -> bytes | None:
-    """Return an item's value of its text."""
-    return None if value is None else base64.b64decode(value)
+def read_rows(rows: Iterable[Any]) -> list[Stored]:
+    """Return the items of their rows; raises `ValueError` or `TypeError` where they are none."""
+    return [Stored(str(key), _bytes(value), int(version)) for key, value, version in rows]
 
 
 def directory_text(items: Iterable[Stored], version: int) -> bytes:
     """Return a whole directory for a peer that asks for it."""
-    rows = [[item.key, value_text(item.value), item.version] for item in items]
-    return zlib.compress(json.dumps({"version": version, "items": rows}).encode(), 1)
+    found = {"version": version, "items": item_rows(items)}
+    return zlib.compress(json.dumps(found).encode(), 1)
 
 
 def read_directory(data: bytes) -> tuple[list[Stored], int]:
@@ -36,7 +39,14 @@
     """
     try:
         found = json.loads(zlib.decompress(data))
-        items = [Stored(str(k), value_bytes(value), int(v)) for k, value, v in found["items"]]
-        return items, int(found["version"])
+        return read_rows(found["items"]), int(found["version"])
     except (KeyError, TypeError, zlib.error) as error:
         raise ValueError(f"not a directory: {error!r}") from error
+
+
+def _text(value: bytes | None) -> str | None:
+    return None if value is None else base64.b64encode(value).decode()
+
+
+def _bytes(text: str | None) -> bytes | None:
+    return None if text is None else base64.b64decode(text)
--- a/src/sycamorebay/protocol/headers.py
+++ b/src/sycamorebay/protocol/headers.py
@@ -7,6 +7,7 @@
 
 from sycamorebay.protocol.names import (
     ATTEMPT,
+    BODILESS_STATUSES,
     DEADLINE,
     IDEMPOTENCY_KEY,
     LEAVING,
@@ -36,8 +37,6 @@
     }
 )
 
-BODILESS_STATUSES = (204, 304)
-
 _OWN_VIA = "1.1 sycamorebay"
 _REQUEST_ID = re.compile(r"[!-~]{1,128}\Z")
 _NEVER_NAMED = frozenset(
--- a/src/sycamorebay/protocol/names.py
+++ b/src/sycamorebay/protocol/names.py
@@ -1,4 +1,4 @@
-"""Names of the product's own HTTP headers, in lower case."""
+"""Names of the product's own HTTP headers, in lower case, and what HTTP says of all messages."""
 
 from __future__ import annotations
 
@@ -10,3 +10,6 @@
 IDEMPOTENCY_KEY = "idempotency-key"
 
 Headers = list[tuple[str, str]]
+RawHeaders = list[tuple[bytes, bytes]]
+
+BODILESS_STATUSES = (204, 304)
--- a/src/sycamorebay/protocol/request_head.py
+++ b/src/sycamorebay/protocol/request_head.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-RawHeaders = list[tuple[bytes, bytes]]
+from sycamorebay.protocol.names import RawHeaders
 
 _HOST = re.compile(
     rb"[A-Za-z0-9._-]{1,253}(:[0-9]{1,5})?\Z|\[[0-9A-Fa-f:.]{2,45}\](:[0-9]{1,5})?\Z"
--- a/src/sycamorebay/transport/entry/background.py
+++ b/src/sycamorebay/transport/background.py
@@ -23,9 +23,17 @@
 
 
 @contextlib.asynccontextmanager
-async def running(parts: Sequence[Background]) -> AsyncIterator[None]:
-    """Run parts side by side, and cancel them at the end."""
-    tasks = [asyncio.create_task(_run_again(part)) for part in parts]
+async def running(parts: Sequence[Background], restart_s: float = RESTART_S) -> AsyncIterator[None]:
+    """Run parts side by side, and cancel them at the end.
+
+    Parameters
+    ----------
+    parts : sequence of Background
+        A part that fails is logged and run again.
+    restart_s : float
+        After this time, in seconds.
+    """
+    tasks = [asyncio.create_task(_run_again(part, restart_s)) for part in parts]
     try:
         yield
     finally:
@@ -34,10 +42,10 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
-async def _run_again(part: Background) -> None:
+async def _run_again(part: Background, restart_s: float) -> None:
     while True:
         try:
             await part.run()
         except Exception:
             _log.exception("task failed", task=type(part).__name__)
-        await asyncio.sleep(RESTART_S)
+        await asyncio.sleep(restart_s)
--- a/src/sycamorebay/transport/entry/collector.py
+++ b/src/sycamorebay/transport/collector.py
@@ -9,12 +9,17 @@
 OLD_THRESHOLD = 50
 
 
-def settle() -> None:
-    """Leave what is loaded so far out of all later collections, and collect less often.
+def spare_loaded() -> None:
+    """Leave what is loaded so far out of all later collections.
 
     A full collection stops every request in flight; most of what it would look at are the modules,
     which live as long as the process.
     """
     gc.collect()
     gc.freeze()
+
+
+def settle() -> None:
+    """Leave what is loaded so far out of all later collections, and collect less often."""
+    spare_loaded()
     gc.set_threshold(YOUNG_THRESHOLD, MIDDLE_THRESHOLD, OLD_THRESHOLD)
--- a/src/sycamorebay/transport/entry/control.py
+++ b/src/sycamorebay/transport/entry/control.py
@@ -12,12 +12,12 @@
 from sycamorebay.coordination.membership import Member, Membership
 from sycamorebay.metrics import Metrics
 from sycamorebay.settings import Settings
+from sycamorebay.transport.background import Background
 from sycamorebay.transport.clock import boottime
 from sycamorebay.transport.configuration.following import StoreFollower
 from sycamorebay.transport.configuration.in_force import RevisionInForce
 from sycamorebay.transport.configuration.platform import open_store
 from sycamorebay.transport.configuration.registration import Registration
-from sycamorebay.transport.entry.background import Background
 from sycamorebay.transport.entry.pauses import PauseWatch
 from sycamorebay.transport.peering.heartbeats import Heartbeats
 from sycamorebay.transport.peering.news import NewsExchange, VmWatch
--- a/src/sycamorebay/transport/entry/daemon.py
+++ b/src/sycamorebay/transport/entry/daemon.py
@@ -16,8 +16,8 @@
 from sycamorebay.coordination.dispatch import Dispatcher
 from sycamorebay.metrics import Metrics
 from sycamorebay.settings import Settings
-from sycamorebay.transport.entry import collector
-from sycamorebay.transport.entry.background import Background, running
+from sycamorebay.transport import collector
+from sycamorebay.transport.background import Background, running
 from sycamorebay.transport.entry.control import Control
 from sycamorebay.transport.entry.operators import Status, operator_app
 from sycamorebay.transport.entry.timing import Timers
--- a/src/sycamorebay/transport/forwarding/caller_protocol.py
+++ b/src/sycamorebay/transport/forwarding/caller_protocol.py
@@ -17,7 +17,8 @@
 )
 
 from sycamorebay.outcomes import NotRun, Refusal, Unknown
-from sycamorebay.protocol.headers import BODILESS_STATUSES, Headers, header_value
+from sycamorebay.protocol.headers import Headers, header_value
+from sycamorebay.protocol.names import BODILESS_STATUSES
 from sycamorebay.protocol.problem import raw_refusal
 from sycamorebay.protocol.request_head import (
     FAILED,
--- a/src/sycamorebay/transport/forwarding/upstream.py
+++ b/src/sycamorebay/transport/forwarding/upstream.py
@@ -27,7 +27,7 @@
 
 from sycamorebay.coordination.messages import Failure
 from sycamorebay.protocol import headers as names
-from sycamorebay.protocol.headers import BODILESS_STATUSES, Headers
+from sycamorebay.protocol.names import BODILESS_STATUSES, Headers
 
 CONNECT_TIMEOUT_S = 1.0
 KEEPALIVE_S = 15.0
--- a/src/sycamorebay/transport/gateway/client.py
+++ b/src/sycamorebay/transport/gateway/client.py
@@ -11,8 +11,8 @@
 import attrs
 import httptools
 
-from sycamorebay.protocol.dialect import RawHeaders
-from sycamorebay.transport.gateway.sockets import tune
+from sycamorebay.protocol.names import BODILESS_STATUSES, RawHeaders
+from sycamorebay.transport.gateway.sockets import split_address, tune
 
 CONNECT_TIMEOUT_S = 0.4
 # Idle connections of servers that name no time are trusted this long.
@@ -22,7 +22,6 @@
 MAX_IDLE = 16
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 MAX_HEAD_BYTES = 64 * 1024
-_BODILESS = frozenset({204, 304})
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*([0-9]{1,6})")
 
 
@@ -191,7 +190,7 @@
         if not self._parser.should_keep_alive():
             self.reusable = False
         self._in_body = True
-        self._framed = bool(lengths or chunked) or self._status in _BODILESS
+        self._framed = bool(lengths or chunked) or self._status in BODILESS_STATUSES
         if self._status < 200 or self._accepts is None:
             self._dropped = True
         elif not self._accepts(self._status, self._headers):
@@ -211,7 +210,7 @@
 
     def on_message_complete(self) -> None:
         """Take the end of an answer."""
-        if not self._framed and self._status not in _BODILESS and self._status >= 200:
+        if not self._framed and self._status not in BODILESS_STATUSES and self._status >= 200:
             return
         self._complete()
 
@@ -253,7 +252,6 @@
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
         self._idle_by_address: dict[str, list[Connection]] = {}
-        self.opened = 0
 
     def has_idle(self, address: str) -> bool:
         """Whether a connection is open and idle."""
@@ -321,12 +319,11 @@
         return kept
 
     async def _connect(self, address: str, timeout_s: float) -> Connection:
-        host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
-        self.opened += 1
         try:
+            host, port = split_address(address)
             async with asyncio.timeout(timeout_s):
-                _, connection = await loop.create_connection(Connection, host, int(port))
+                _, connection = await loop.create_connection(Connection, host, port)
         except TimeoutError as error:
             raise ConnectError("connecting took too long") from error
         except (OSError, ValueError) as error:
--- a/src/sycamorebay/transport/gateway/gateway.py
+++ b/src/sycamorebay/transport/gateway/gateway.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import random
 import signal
 import time
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from typing import Any, Protocol
+from typing import Protocol
+
+import attrs
 
 from sycamorebay import log
 from sycamorebay.coordination.placing import Placer
@@ -19,6 +20,7 @@
 from sycamorebay.state.routing import RoutingTable
 from sycamorebay.state.server_entries import ServerEntries, ServerEntry
 from sycamorebay.state.stored import Stored
+from sycamorebay.transport.background import Background, running
 from sycamorebay.transport.gateway.client import Pool
 from sycamorebay.transport.gateway.counters import Counters
 from sycamorebay.transport.gateway.following import ChangeFeed, Following
@@ -28,7 +30,8 @@
 from sycamorebay.transport.gateway.peer import Listeners, Own
 from sycamorebay.transport.gateway.peers import Peers
 from sycamorebay.transport.gateway.probing import Probing
-from sycamorebay.transport.gateway.settings import GatewaySettings, split_address
+from sycamorebay.transport.gateway.settings import GatewaySettings
+from sycamorebay.transport.gateway.sockets import split_address
 
 # The platform asks each second and takes a daemon out after two misses.
 ROTATION_S = 2.5
@@ -145,22 +148,14 @@
                 lambda: self._peers, local_addr=split_address(settings.datagrams)
             )
             _log.warning("started", name=settings.name, callers=settings.callers)
-            async with self._background():
+            async with running(self._parts(), RESTART_PART_S):
                 await self._stopping.wait()
                 await self._stop(callers)
         _log.warning("stopped", log_lines_dropped=self._lines.dropped)
 
-    @asynccontextmanager
-    async def _background(self) -> AsyncIterator[None]:
-        """Run the parts that work beside requests."""
-        parts = (self._following.run, self._peers.run, self._probing.run, self._tick)
-        tasks = [self._loop.create_task(_keep_running(part)) for part in parts]
-        try:
-            yield
-        finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+    def _parts(self) -> list[Background]:
+        """Return the parts that work beside requests."""
+        return [self._following, self._peers, self._probing, _Ticks(self._tick)]
 
     @asynccontextmanager
     async def _open(self, address: str, listener: Listener) -> AsyncIterator[asyncio.Server]:
@@ -270,13 +265,11 @@
         if self._placer.is_waiting():
             self._forwarder.on_decisions(self._placer.on_tick(self._loop.time()))
 
-    async def _tick(self) -> None:
-        while True:
-            await asyncio.sleep(TICK_S)
-            now = self._loop.time()
-            if self._entries.expire(now):
-                self._on_servers(now)
-            self._on_room()
+    def _tick(self) -> None:
+        now = self._loop.time()
+        if self._entries.expire(now):
+            self._on_servers(now)
+        self._on_room()
 
     # Questions
 
@@ -304,17 +297,13 @@
         return CallerAnswer(404, [])
 
 
-async def _keep_running(part: Callable[[], Coroutine[Any, Any, None]]) -> None:
-    """Run a part until cancelled; a fault in it must not leave the daemon without it."""
-    while True:
-        try:
-            await part()
-        except Exception as error:
-            _log.exception("part failed", part=part.__qualname__, error=repr(error))
-        await asyncio.sleep(RESTART_PART_S)
+@attrs.frozen
+class _Ticks:
+    """Calls something every `TICK_S`."""
 
+    action: Callable[[], None]
 
-def settle_collector() -> None:
-    """Spare the collector what was made while starting."""
-    gc.collect()
-    gc.freeze()
+    async def run(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.action()
--- a/src/sycamorebay/transport/gateway/listener.py
+++ b/src/sycamorebay/transport/gateway/listener.py
@@ -11,7 +11,7 @@
 import attrs
 import httptools
 
-from sycamorebay.protocol.dialect import RawHeaders
+from sycamorebay.protocol.names import BODILESS_STATUSES, RawHeaders
 from sycamorebay.protocol.request_head import (
     MALFORMED,
     TOO_LARGE,
@@ -28,7 +28,6 @@
 # After an answer that ends a connection, bytes still on their way are read for this long, since
 # closing with unread bytes resets the connection and may take the answer with it.
 LINGER_S = 0.5
-_BODILESS = frozenset({204, 304})
 
 
 @attrs.frozen
@@ -179,10 +178,7 @@
         self._listener.connections.discard(self)
         self._deaf = True
         self._disarm()
-        for entry in self._open:
-            if entry.task is not None:
-                entry.task.cancel()
-        self._open.clear()
+        self._drop_open()
 
     def data_received(self, data: bytes) -> None:
         """Parse requests."""
@@ -314,7 +310,7 @@
         # A request that is already with a backend server gets its answer first.
         last = not any(other.task is not None for other in self._open)
         keep_alive = entry.keep_alive and not (self._listener.stopping and last)
-        bodiless = entry.request.method == "HEAD" or answer.status in _BODILESS
+        bodiless = entry.request.method == "HEAD" or answer.status in BODILESS_STATUSES
         self._transport.write(_answer_bytes(answer, keep_alive, bodiless))
         if keep_alive:
             return True
@@ -325,15 +321,18 @@
         """End the connection, reading what is still on its way for a moment."""
         assert self._transport is not None
         self._deaf = True
-        for entry in self._open:
-            if entry.task is not None:
-                entry.task.cancel()
-        self._open.clear()
+        self._drop_open()
         if self._transport.can_write_eof():
             self._transport.write_eof()
         self._disarm()
         self._timer = self._loop.call_later(LINGER_S, self._transport.close)
 
+    def _drop_open(self) -> None:
+        for entry in self._open:
+            if entry.task is not None:
+                entry.task.cancel()
+        self._open.clear()
+
     def _pace_reading(self) -> None:
         assert self._transport is not None
         full = len(self._open) >= MAX_PIPELINED
@@ -388,7 +387,7 @@
     phrase = _PHRASES_BY_STATUS.get(answer.status, "Unknown")
     lines = [f"HTTP/1.1 {answer.status} {phrase}".encode()]
     lines += [name + b": " + value for name, value in answer.headers]
-    if answer.status not in _BODILESS:
+    if answer.status not in BODILESS_STATUSES:
         lines.append(b"content-length: %d" % len(answer.body))
     if not keep_alive:
         lines.append(b"connection: close")
--- a/src/sycamorebay/transport/gateway/peers.py
+++ b/src/sycamorebay/transport/gateway/peers.py
@@ -15,12 +15,13 @@
 
 from sycamorebay import log
 from sycamorebay.coordination.placing import Placer
-from sycamorebay.protocol.directories import value_bytes, value_text
+from sycamorebay.protocol.directories import item_rows, read_rows
 from sycamorebay.protocol.load_rows import CHANGED, COMPLETE
 from sycamorebay.state.stored import Stored
 from sycamorebay.transport.gateway.counters import Counters
 from sycamorebay.transport.gateway.load_news import LoadNews
 from sycamorebay.transport.gateway.peer import Listeners, Own, Peer
+from sycamorebay.transport.gateway.sockets import join_address, split_address
 
 BEAT_S = 0.25
 # A larger fleet beats less often, so that a daemon sends about this many datagrams a second.
@@ -111,7 +112,7 @@
             "t": "changes",
             "after": after,
             "version": version,
-            "items": [[item.key, value_text(item.value), item.version] for item in items],
+            "items": item_rows(items),
         }
         self._send_all(message)
         self._beat()
@@ -145,7 +146,7 @@
             "store": own.reaches_store,
             "next": self.beat_s,
             "peers": [
-                f"{peer.address[0]}:{peer.address[1]}"
+                join_address(peer.address)
                 for peer in self._rng.sample(known, min(told, len(known)))
             ],
         }
@@ -205,7 +206,7 @@
         elif peer is None or peer.incarnation != incarnation:
             return
         elif kind == "changes":
-            items = [Stored(key, value_bytes(value), int(v)) for key, value, v in message["items"]]
+            items = read_rows(message["items"])
             self._listeners.on_changes(int(message["after"]), items, int(message["version"]), peer)
         elif kind == "leave":
             self._forget(peer, "it stops")
@@ -233,8 +234,7 @@
         peer.reaches_store = bool(message["store"])
         peer.silent_s = float(message["next"]) * SILENT_BEATS + SILENT_SLACK_S
         for text in message["peers"]:
-            host, _, port = str(text).rpartition(":")
-            self._meet((host, int(port)))
+            self._meet(split_address(str(text)))
         if peer.version > self.own.version:
             self._listeners.on_behind(peer)
         else:
@@ -253,7 +253,7 @@
 
     def _meet(self, address: tuple[str, int]) -> None:
         known = address in self._peers_by_address or address in self._seeds
-        if not known and f"{address[0]}:{address[1]}" != self.own.address:
+        if not known and join_address(address) != self.own.address:
             self._greet(address)
 
     def _forget_silent(self) -> None:
--- a/src/sycamorebay/transport/gateway/sending.py
+++ b/src/sycamorebay/transport/gateway/sending.py
@@ -10,7 +10,8 @@
 
 from sycamorebay import log
 from sycamorebay.coordination.placing import Placer, Waiting
-from sycamorebay.protocol.dialect import AnswerMarks, Dialect, RawHeaders
+from sycamorebay.protocol.dialect import AnswerMarks, Dialect
+from sycamorebay.protocol.names import RawHeaders
 from sycamorebay.state.routing import Route
 from sycamorebay.state.server_entries import ServerEntry
 from sycamorebay.transport.gateway.client import (
@@ -94,6 +95,28 @@
     may_have_run: bool = False
 
 
+@attrs.define
+class _Reading:
+    """Reads the marks of the answers on a connection, until the request's own has come."""
+
+    dialect: Dialect
+    request_id: str
+    marks: AnswerMarks | None = None
+
+    def is_own(self, status: int, headers: RawHeaders) -> bool:
+        """Whether an answer belongs to this request, or to one before it on the connection."""
+        self.marks = self.dialect.read_answer(status, headers)
+        answered = self.marks.request_id
+        if answered and answered != self.request_id:
+            _log.warning(
+                "answer of another request dropped",
+                request_id=self.request_id,
+                answered=answered,
+            )
+            return False
+        return True
+
+
 class Sender:
     """Sends requests and tells what is learnt of servers.
 
@@ -156,13 +179,11 @@
             self._on_first_send(exchange.service)
         exchange.sends += 1
         exchange.may_have_run, ran_before = True, exchange.may_have_run
+        reading = _Reading(self._dialect, exchange.request_id)
         started = loop.time()
         try:
             answer = await connection.ask(
-                head,
-                exchange.request.body,
-                lambda status, headers: self._is_own(exchange, status, headers),
-                exchange.request.method == "HEAD",
+                head, exchange.request.body, reading.is_own, exchange.request.method == "HEAD"
             )
         except ConnectError as error:
             exchange.sends -= 1
@@ -175,7 +196,8 @@
         except asyncio.CancelledError:
             self._on_cancelled(exchange, server)
             raise
-        marks = self._dialect.read_answer(answer.status, answer.headers)
+        marks = reading.marks
+        assert marks is not None
         self._take_report(server, marks)
         self._pool.give_back(server.address, connection)
         sent = self._judge(exchange, server, answer, marks)
@@ -193,18 +215,6 @@
             headers.append((b"content-length", b"%d" % len(request.body)))
         return request_head(request.method, request.target, headers)
 
-    def _is_own(self, exchange: Exchange, status: int, headers: RawHeaders) -> bool:
-        """Whether an answer belongs to this request, or to one before it on the connection."""
-        answered = self._dialect.read_answer(status, headers).request_id
-        if answered and answered != exchange.request_id:
-            _log.warning(
-                "answer of another request dropped",
-                request_id=exchange.request_id,
-                answered=answered,
-            )
-            return False
-        return True
-
     def _judge(
         self, exchange: Exchange, server: ServerEntry, answer: ClientAnswer, marks: AnswerMarks
     ) -> Sent:
--- a/src/sycamorebay/transport/gateway/settings.py
+++ b/src/sycamorebay/transport/gateway/settings.py
@@ -37,9 +37,3 @@
     seeds: tuple[str, ...]
     retries: RetryBounds
     stop_s: float
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Return an address's host and port."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
--- a/src/sycamorebay/transport/gateway/sockets.py
+++ b/src/sycamorebay/transport/gateway/sockets.py
@@ -1,4 +1,4 @@
-"""Options that every connection of the gateway gets."""
+"""Addresses, and options that every connection of the gateway gets."""
 
 from __future__ import annotations
 
@@ -23,3 +23,14 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return an address's host and port."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def join_address(address: tuple[str, int]) -> str:
+    """Return a host and a port as ``host:port``."""
+    return f"{address[0]}:{address[1]}"
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -207,13 +207,17 @@
     async def ready(self) -> None:
         """Wait until every gateway is ready; raises what ended one instead."""
         for settings, task in zip(self.settings, self._tasks, strict=True):
-            await eventually(lambda s=settings, t=task: t.done() or self.is_ready(s))
+            address = settings.readiness
+            await eventually(lambda a=address, t=task: t.done() or self.is_ready_at(a))
             if task.done():
                 await task
 
     async def is_ready(self, settings: GatewaySettings) -> bool:
+        return await self.is_ready_at(settings.readiness)
+
+    async def is_ready_at(self, address: str) -> bool:
         try:
-            caller = await self.connect(settings.readiness)
+            caller = await self.connect(address)
         except OSError:
             return False
         answer = await caller.ask("r", "/readyz")
--- a/tests/gateway_processes.py
+++ b/tests/gateway_processes.py
@@ -82,16 +82,10 @@
             raise ChildProcessError(f"gateway {number} ended with {process.returncode}")
 
     async def is_ready(self, number: int) -> bool:
-        try:
-            caller = await self.connect(number, READINESS)
-        except OSError:
-            return False
-        answer = await caller.ask("r", "/readyz")
-        caller.close()
-        return answer.status == 200
-
-    async def connect(self, number: int, port: int = CALLERS) -> Caller:
-        return await self.fleet.connect(f"{self.address(number)}:{self.ports[port]}")
+        return await self.fleet.is_ready_at(f"{self.address(number)}:{self.ports[READINESS]}")
+
+    async def connect(self, number: int) -> Caller:
+        return await self.fleet.connect(f"{self.address(number)}:{self.ports[CALLERS]}")
 
     def lines(self, number: int) -> list[dict[str, Any]]:
         text = (self.folder / f"log-{number}").read_text()
--- a/tests/gateway_soak/checks.py
+++ b/tests/gateway_soak/checks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Callable
 
 from tests.gateway_soak.history import NOT_RUN, Call, History
@@ -50,17 +51,14 @@
 def older_again(history: History) -> list[str]:
     """Find requests handled by an older configuration than their gateway had shown before."""
     found = []
+    calls_by_start: dict[tuple[int, int], list[tuple[Call, int]]] = defaultdict(list)
     for call in history.calls:
-        version = _version(history, call)
-        shown = [
-            _version(history, other)
-            for other in history.calls
-            if (other.gateway, other.start) == (call.gateway, call.start)
-            and other.status == 200
-            and other.ended_at + DOWNGRADE_S < call.sent_at
-        ]
-        if version and shown and max(shown) > version:
-            found.append(f"{call.id} at gateway {call.gateway}: {version} after {max(shown)}")
+        calls_by_start[call.gateway, call.start].append((call, _version(history, call)))
+    for calls in calls_by_start.values():
+        for call, version in calls:
+            shown = [v for other, v in calls if other.ended_at + DOWNGRADE_S < call.sent_at]
+            if version and max(shown, default=0) > version:
+                found.append(f"{call.id} at gateway {call.gateway}: {version} after {max(shown)}")
     return found
 
 
--- a/tests/gateway_soak/play.py
+++ b/tests/gateway_soak/play.py
@@ -7,7 +7,7 @@
 import random
 import signal
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 from standins.scripted import Line, Script, Seen
 from standins.scripts import garble, run_and_reset, run_and_stay_silent, shed
@@ -138,33 +138,31 @@
         if self._busy[gateway]:
             return
         self._busy[gateway] = True
+        with self._disturbing(gateway, kind):
+            await fault(gateway)
+        self._busy[gateway] = False
+
+    @contextlib.contextmanager
+    def _disturbing(self, gateway: int, kind: str) -> Iterator[None]:
+        """Note a disturbance: without end while it lasts, then with its end."""
         since = time.monotonic()
         place = len(self.history.disturbances)
         self.history.disturbances.append(Disturbance(gateway, kind, since, float("inf")))
-        await fault(gateway)
-        self._busy[gateway] = False
-        ended = Disturbance(gateway, kind, since, time.monotonic())
-        self.history.disturbances[place] = ended
+        yield
+        self.history.disturbances[place] = Disturbance(gateway, kind, since, time.monotonic())
 
-    async def _restart(self, gateway: int) -> None:
+    async def _restart(self, gateway: int, which: signal.Signals) -> None:
+        self._started.signal(gateway, which)
         await self._started.processes[gateway].wait()
         self._starts[gateway] += 1
         await self._started.start(gateway)
         await self._started.ready(gateway)
 
     async def _stop(self) -> None:
-        async def fault(gateway: int) -> None:
-            self._started.signal(gateway, signal.SIGTERM)
-            await self._restart(gateway)
-
-        await self._on_gateway("stop", fault)
+        await self._on_gateway("stop", lambda gateway: self._restart(gateway, signal.SIGTERM))
 
     async def _kill(self) -> None:
-        async def fault(gateway: int) -> None:
-            self._started.signal(gateway, signal.SIGKILL)
-            await self._restart(gateway)
-
-        await self._on_gateway("kill", fault)
+        await self._on_gateway("kill", lambda gateway: self._restart(gateway, signal.SIGKILL))
 
     async def _suspend(self) -> None:
         async def fault(gateway: int) -> None:
@@ -182,15 +180,11 @@
         name, value = self._rng.choice(
             [("silent", True), ("reset", True), ("refuse_status", 503), ("late_s", 1.0)]
         )
-        since = time.monotonic()
-        place = len(self.history.disturbances)
-        self.history.disturbances.append(Disturbance(-1, "store", since, float("inf")))
-        calm = getattr(faults, name)
-        setattr(faults, name, value)
-        await asyncio.sleep(self._rng.uniform(0.3, 2.5))
-        setattr(faults, name, type(calm)())
-        ended = Disturbance(-1, "store", since, time.monotonic())
-        self.history.disturbances[place] = ended
+        with self._disturbing(-1, "store"):
+            calm = getattr(faults, name)
+            setattr(faults, name, value)
+            await asyncio.sleep(self._rng.uniform(0.3, 2.5))
+            setattr(faults, name, type(calm)())
 
     async def _server(self) -> None:
         server = self._rng.choice(list(self._started.fleet.servers_by_id.values()))
--- a/tests/test_forward_collector.py
+++ b/tests/test_forward_collector.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from sycamorebay.transport.entry import collector
+from sycamorebay.transport import collector
 
 
 class CollectorTest(testtools.TestCase):
--- a/tests/test_gateway_faults.py
+++ b/tests/test_gateway_faults.py
@@ -13,9 +13,9 @@
 
 import testtools
 
-from standins.scripted import Line, Seen
+from standins.scripted import Line, ScriptedServer, Seen
 from standins.scripts import run_and_stay_silent
-from tests.gateway_fleet import config, eventually, fleet, free_port, route
+from tests.gateway_fleet import Caller, config, eventually, fleet, free_port, route
 from tests.gateway_processes import Gateways, gateways
 from tests.support import asynchronous
 
@@ -30,6 +30,21 @@
     return config(version, safe=route("safe", backend="dock"), unsafe=route("unsafe"))
 
 
+async def reaches(caller: Caller, server: ScriptedServer) -> bool:
+    """Return whether a request goes to a server."""
+    before = len(server.seen)
+    await caller.ask("r")
+    return len(server.seen) > before
+
+
+async def body(started: Gateways, number: int) -> bytes:
+    """Return the body that a gateway answers on a new connection."""
+    caller = await started.connect(number)
+    answer = await caller.ask("r")
+    caller.close()
+    return answer.body
+
+
 async def who(seen: Seen, line: Line) -> None:
     """Answer with the port of the server that ran the request."""
     line.answer(seen, body=str(line.writer.get_extra_info("sockname")[1]).encode())
@@ -47,15 +62,10 @@
             await asyncio.sleep(1.6)
             started.store.faults.late_s = 0.0
 
-            async def is_moved() -> bool:
-                before = len(dock.seen)
-                await caller.ask("r")
-                return len(dock.seen) > before
-
-            await eventually(is_moved, APPLY_S + 1.0)
+            await eventually(lambda: reaches(caller, dock), APPLY_S + 1.0)
             # Answers that the store still holds come now.
             for index in range(30):
-                self.assertTrue(await is_moved(), index)
+                self.assertTrue(await reaches(caller, dock), index)
                 await asyncio.sleep(0.1)
 
     async def endings(self, leases_pause: bool) -> Counter:
@@ -91,13 +101,7 @@
             started.store.faults.lose_answers = 3
             started.store.put("op/config", moved(2))
             caller = await started.caller()
-
-            async def is_moved() -> bool:
-                before = len(dock.seen)
-                await caller.ask("r")
-                return len(dock.seen) > before
-
-            await eventually(is_moved, APPLY_S + 1.0)
+            await eventually(lambda: reaches(caller, dock), APPLY_S + 1.0)
             self.assertEqual(0, started.store.faults.lose_answers)
 
     @asynchronous
@@ -111,9 +115,7 @@
                 document = moved(2) if refused == 0 else config(3, safe=route("safe"))
                 started.fleet.store.put("op/config", document)
                 await asyncio.sleep(APPLY_S)
-                caller = await started.connect(refused)
-                answer = await caller.ask("r")
-                self.assertEqual(refused == 0, answer.body == port)
+                self.assertEqual(refused == 0, await body(started, refused) == port)
 
     @asynchronous
     async def test_daemons_that_start_together_stay_within_the_rate_of_the_store(self):
@@ -241,12 +243,6 @@
 
 
 class ProcessTest(testtools.TestCase):
-    async def body(self, started: Gateways, number: int) -> bytes:
-        caller = await started.connect(number)
-        answer = await caller.ask("r")
-        caller.close()
-        return answer.body
-
     @asynchronous
     async def test_a_suspended_daemon_takes_up_what_it_missed(self):
         async with gateways(3) as started:
@@ -259,7 +255,7 @@
             started.signal(2, signal.SIGCONT)
             await asyncio.sleep(SETTLE_S)
             for number in range(3):
-                self.assertEqual(port, await self.body(started, number))
+                self.assertEqual(port, await body(started, number))
 
     @asynchronous
     async def test_a_configuration_acknowledged_as_all_are_killed_is_in_force_after(self):
@@ -275,7 +271,7 @@
             restarted = time.monotonic()
             for number in range(3):
                 await started.ready(number)
-                self.assertEqual(port, await self.body(started, number))
+                self.assertEqual(port, await body(started, number))
             self.assertLess(time.monotonic() - restarted, RECOVER_S)
 
     @asynchronous
