Decode a configuration in part instead of refusing it whole

Change: `upload` is a kind of its own that is not idempotent; an unknown kind is handled as unsafe. A route that cannot be decoded is kept as `UnreadableRoute` and its requests get 503, never 404; a service that cannot be decoded is not probed, a limit falls back to its default. What could not be decoded is logged once a version and counted. Items of the store are decoded one by one, and an answer without its fields is a failed call.

The test of an undecodable configuration used one without limits as its second case; that one is in force now, with defaults. It is replaced by a table that is no table of routes, and by tests of each part. Without the change, the new tests of documents and of the store's client fail with ValueError and KeyError.

--- a/src/sycamorebay/platform/documents.py
+++ b/src/sycamorebay/platform/documents.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Mapping
 from typing import Any
 
 from sycamorebay.platform.values import ValueFault, integer, number, seconds, table, text
@@ -16,6 +17,7 @@
     RoutedService,
     RouteKind,
     RoutingTable,
+    UnreadableRoute,
     WeightedService,
 )
 from sycamorebay.state.server_entries import ServerEntry
@@ -39,30 +41,24 @@
     def read_routing(self, value: bytes) -> RoutingTable:
         """Return the decoded routing table.
 
+        A route, service or limit that cannot be decoded costs only itself: the table names it, and
+        the rest of the table applies.
+
         Raises
         ------
         ValueError, TypeError
-            If the value cannot be decoded.
+            If the value is not a table of routes with a version.
         """
         document = json.loads(value)
-        services = table(document, "services")
-        routes = table(document, "routes")
-        limits = table(document, "limits")
+        faults: list[str] = []
+        routes, unreadable_routes = _read_routes(table(document, "routes"), faults)
         return RoutingTable(
             version=integer(document, "version"),
-            services_by_name={
-                name: RoutedService(
-                    name, text(fields, "health_path"), integer(fields, "max_conns", 1)
-                )
-                for name, fields in services.items()
-            },
-            routes=tuple(_route(name, fields) for name, fields in routes.items()),
-            request_limits=RequestLimits(
-                head_bytes=integer(limits, "max_header_bytes", 1),
-                body_bytes=integer(limits, "max_body_bytes"),
-                head_s=seconds(limits, "header_timeout"),
-                idle_s=seconds(limits, "idle_timeout"),
-            ),
+            services_by_name=_read_services(document, faults),
+            routes=tuple(routes),
+            request_limits=_read_limits(document, faults),
+            unreadable_routes=tuple(unreadable_routes),
+            faults=tuple(faults),
         )
 
     def read_server(self, server_id: str, value: bytes) -> ServerEntry:
@@ -93,19 +89,75 @@
         )
 
 
-def _route(name: str, document: Any) -> Route:
+def _read_routes(
+    documents: Mapping[str, Any], faults: list[str]
+) -> tuple[list[Route], list[UnreadableRoute]]:
+    routes: list[Route] = []
+    unreadable_routes: list[UnreadableRoute] = []
+    for name, document in documents.items():
+        try:
+            routes.append(_route(name, document, faults))
+        except (ValueError, TypeError) as error:
+            unreadable_routes.append(_unreadable_route(name, document, str(error)))
+    return routes, unreadable_routes
+
+
+def _read_services(document: Any, faults: list[str]) -> dict[str, RoutedService]:
+    services_by_name: dict[str, RoutedService] = {}
+    for name, fields in _optional_table(document, "services", faults).items():
+        try:
+            services_by_name[name] = RoutedService(
+                name, text(fields, "health_path"), integer(fields, "max_conns", 1)
+            )
+        except ValueFault as error:
+            faults.append(f"service {name}: {error}; it is not probed")
+    return services_by_name
+
+
+def _read_limits(document: Any, faults: list[str]) -> RequestLimits:
+    limits = _optional_table(document, "limits", faults)
+    defaults = RequestLimits()
+
+    def read_field(reader: Any, name: str, default: float, *rest: int) -> Any:
+        try:
+            return reader(limits, name, *rest)
+        except ValueFault as error:
+            faults.append(f"limit {error}; the default {default} applies")
+            return default
+
+    return RequestLimits(
+        head_bytes=read_field(integer, "max_header_bytes", defaults.head_bytes, 1),
+        body_bytes=read_field(integer, "max_body_bytes", defaults.body_bytes),
+        head_s=read_field(seconds, "header_timeout", defaults.head_s),
+        idle_s=read_field(seconds, "idle_timeout", defaults.idle_s),
+    )
+
+
+def _optional_table(document: Any, name: str, faults: list[str]) -> Mapping[str, Any]:
+    try:
+        return table(document, name)
+    except ValueFault as error:
+        faults.append(str(error))
+        return {}
+
+
+def _route(name: str, document: Any, faults: list[str]) -> Route:
+    if not isinstance(document, dict):
+        raise ValueFault("expected a JSON object")
     if "split" in document:
         weighted_services = tuple(
             WeightedService(text(share, "backend"), number(share, "weight"))
             for share in document["split"]
         )
+        if not sum(share.weight for share in weighted_services) > 0:
+            raise ValueFault("split: expected a weight above 0")
     else:
         weighted_services = (WeightedService(text(document, "backend"), 1.0),)
     return Route(
         name=name,
         host=text(document, "host").lower(),
         prefix=text(document, "prefix"),
-        kind=RouteKind(text(document, "kind")),
+        kind=_kind(name, text(document, "kind"), faults),
         timeout_s=seconds(document, "timeout"),
         goal_s=seconds(document, "goal"),
         priority=integer(document, "priority"),
@@ -114,6 +166,23 @@
     )
 
 
+def _kind(route: str, kind: str, faults: list[str]) -> RouteKind:
+    try:
+        return RouteKind(kind)
+    except ValueError:
+        faults.append(f"route {route}: unknown kind {kind!r}; its requests are not repeated")
+        return RouteKind.UNSAFE
+
+
+def _unreadable_route(name: str, document: Any, reason: str) -> UnreadableRoute:
+    try:
+        return UnreadableRoute(
+            name, reason, text(document, "host").lower(), text(document, "prefix")
+        )
+    except ValueFault:
+        return UnreadableRoute(name, reason)
+
+
 def _address(address: str) -> str:
     host, _, port = address.rpartition(":")
     if not host or not port.isdecimal() or not 0 < int(port) < 65536:
--- a/src/sycamorebay/platform/store.py
+++ b/src/sycamorebay/platform/store.py
@@ -7,6 +7,7 @@
 from typing import Any
 from urllib.parse import quote
 
+from sycamorebay import log
 from sycamorebay.errors import PlatformError
 from sycamorebay.state.stored import Listing, StoredItem
 from sycamorebay.transport.gateway.client import AnswerError, ConnectError, ConnectionPool
@@ -18,6 +19,8 @@
 WATCH_SLACK_S = 0.4
 _MAX_PAGES = 200
 
+_log = log.get_logger("store")
+
 
 class PlatformStore:
     """A `ChangeFeed` over the platform's store.
@@ -51,12 +54,12 @@
         for _ in range(_MAX_PAGES):
             path = f"/kv-range?prefix=&after={quote(after, safe='')}"
             response = await self._call("list", path, CALL_TIMEOUT_S)
-            page = [_stored_item(item) for item in response["items"]]
-            items += page
-            version = int(response["as_of"]) if version < 0 else version
-            if not response["has_more"] or not page:
+            rows = self._read(response, "items", list)
+            items += self._stored_items(rows)
+            version = self._read(response, "as_of", int) if version < 0 else version
+            if not response.get("has_more") or not rows:
                 return Listing(tuple(items), version)
-            after = page[-1].key
+            after = _last_key(rows)
         raise PlatformError(
             "the listing did not end within the page limit", step="list", peer=self._address
         )
@@ -85,7 +88,26 @@
         """
         path = f"/kv-watch?prefix=&after={after}&wait_ms={int(wait_s * 1000)}"
         response = await self._call("watch", path, wait_s + WATCH_SLACK_S)
-        return [_stored_item(item) for item in response["events"]], int(response["as_of"])
+        items = self._stored_items(self._read(response, "events", list))
+        return items, self._read(response, "as_of", int)
+
+    def _read(self, response: dict[str, Any], name: str, kind: type) -> Any:
+        """Return a field of an answer, or raise the PlatformError of a malformed one."""
+        value = response.get(name)
+        if not isinstance(value, kind) or isinstance(value, bool):
+            raise self._count_failure("decode", f"{name}: missing or of another type")
+        return value
+
+    def _stored_items(self, rows: list[Any]) -> list[StoredItem]:
+        """Return the items that can be decoded; the others are logged and counted."""
+        items = []
+        for row in rows:
+            try:
+                items.append(_stored_item(row))
+            except (ValueError, TypeError, KeyError, AttributeError) as error:
+                self._counters.undecodable += 1
+                _log.warning("store item could not be decoded", reason=repr(error))
+        return items
 
     async def _call(self, step: str, path: str, timeout_s: float) -> dict[str, Any]:
         self._counters.store_calls += 1
@@ -97,7 +119,7 @@
                 )
             if answer.status != 200:
                 raise self._count_failure(step, f"status {answer.status}")
-            return json.loads(answer.body)
+            return _json_object(answer.body)
         except (TimeoutError, ConnectError, AnswerError, ValueError) as error:
             raise self._count_failure(step, str(error) or type(error).__name__) from error
 
@@ -106,6 +128,18 @@
         return PlatformError(reason, step=step, peer=self._address)
 
 
+def _json_object(body: bytes) -> dict[str, Any]:
+    document = json.loads(body)
+    if not isinstance(document, dict):
+        raise ValueError("the answer is not a JSON object")
+    return document
+
+
+def _last_key(rows: list[Any]) -> str:
+    keys = (str(row["key"]) for row in reversed(rows) if isinstance(row, dict) and "key" in row)
+    return next(keys, "")
+
+
 def _stored_item(item: dict[str, Any]) -> StoredItem:
     value = None if item.get("removed") else base64.b64decode(item["value"])
     return StoredItem(str(item["key"]), value, int(item["rev"]))
--- a/src/sycamorebay/state/routing.py
+++ b/src/sycamorebay/state/routing.py
@@ -19,16 +19,19 @@
         Requests without side effects, of which pipelined ones run one after the other.
     UNSAFE
         Requests that must not run more than once.
+    UPLOAD
+        Requests with a large body that must not run more than once.
     """
 
     SAFE = "safe"
     DOWNLOAD = "download"
     UNSAFE = "unsafe"
+    UPLOAD = "upload"
 
     @property
     def idempotent(self) -> bool:
         """Whether the request may run more than once."""
-        return self is not RouteKind.UNSAFE
+        return self in (RouteKind.SAFE, RouteKind.DOWNLOAD)
 
 
 @attrs.frozen
@@ -84,6 +87,28 @@
     weighted_services: tuple[WeightedService, ...]
 
 
+@attrs.frozen
+class UnreadableRoute:
+    """A route that could not be decoded; its requests are refused without being run.
+
+    Attributes
+    ----------
+    name : str
+        Unique in the routing table.
+    reason : str
+        Why it could not be decoded.
+    host : str or None
+        Host in lower case, without a port; None if it could not be decoded either.
+    prefix : str
+        Path prefix; empty if it could not be decoded.
+    """
+
+    name: str
+    reason: str
+    host: str | None = None
+    prefix: str = ""
+
+
 @attrs.frozen
 class RoutedService:
     """Configuration of one service.
@@ -137,23 +162,36 @@
         All routes.
     request_limits : RequestLimits
         Limits on what callers may send.
+    unreadable_routes : tuple of UnreadableRoute
+        Routes that could not be decoded.
+    faults : tuple of str
+        What else could not be decoded, and how it is handled.
     """
 
     version: int
     services_by_name: Mapping[str, RoutedService]
     routes: tuple[Route, ...]
     request_limits: RequestLimits = attrs.field(factory=RequestLimits)
-    _by_host: dict[str, list[Route]] = attrs.field(init=False, repr=False, eq=False)
+    unreadable_routes: tuple[UnreadableRoute, ...] = ()
+    faults: tuple[str, ...] = ()
+    _by_host: dict[str | None, list[Route | UnreadableRoute]] = attrs.field(
+        init=False, repr=False, eq=False
+    )
 
     def __attrs_post_init__(self) -> None:
-        by_host: dict[str, list[Route]] = {}
-        for route in sorted(self.routes, key=lambda route: -len(route.prefix)):
+        by_host: dict[str | None, list[Route | UnreadableRoute]] = {}
+        routes: list[Route | UnreadableRoute] = [*self.routes, *self.unreadable_routes]
+        for route in sorted(routes, key=lambda route: -len(route.prefix)):
             by_host.setdefault(route.host, []).append(route)
         object.__setattr__(self, "_by_host", by_host)
 
-    def find(self, host: str, path: str) -> Route | None:
-        """Return the route of a host with the longest prefix that matches `path`, or None."""
+    def find(self, host: str, path: str) -> Route | UnreadableRoute | None:
+        """Return the route of a host with the longest prefix that matches `path`, or None.
+
+        A request without a match may belong to a route whose host could not be decoded; such a
+        route is returned then.
+        """
         for route in self._by_host.get(host, ()):
             if path.startswith(route.prefix):
                 return route
-        return None
+        return next(iter(self._by_host.get(None, ())), None)
--- a/src/sycamorebay/transport/gateway/forward.py
+++ b/src/sycamorebay/transport/gateway/forward.py
@@ -19,7 +19,7 @@
 from sycamorebay.outcomes import NotRun, Refusal, Unknown
 from sycamorebay.protocol.header_codec import HeaderCodec
 from sycamorebay.protocol.problem import problem_body, problem_headers
-from sycamorebay.state.routing import Route, RouteKind, RoutingTable
+from sycamorebay.state.routing import Route, RouteKind, RoutingTable, UnreadableRoute
 from sycamorebay.state.server_entries import ServerEntry
 from sycamorebay.transport.gateway.client import ClientAnswer, ConnectionPool
 from sycamorebay.transport.gateway.counters import Counters
@@ -101,7 +101,7 @@
     def may_overlap(self, request: CallerRequest) -> bool:
         """Return whether a pipelined request may run while earlier ones are unanswered."""
         route = self._route(request)
-        return route is not None and route.kind is RouteKind.SAFE
+        return isinstance(route, Route) and route.kind is RouteKind.SAFE
 
     async def forward(self, request: CallerRequest) -> CallerAnswer:
         """Handle one request and return its answer, which may be a refusal.
@@ -129,7 +129,7 @@
             elif isinstance(decision, Place):
                 self._end(decision.server.id)
 
-    def _route(self, request: CallerRequest) -> Route | None:
+    def _route(self, request: CallerRequest) -> Route | UnreadableRoute | None:
         return self.routing.find(request.host, request.path) if self.routing else None
 
     async def _forward(
@@ -143,6 +143,9 @@
         route = self._route(request)
         if route is None:
             return self._build_refusal(request_id, NotRun("route", "", "no route matches", 404))
+        if isinstance(route, UnreadableRoute):
+            reason = f"the route {route.name} could not be decoded"
+            return self._build_refusal(request_id, NotRun("route", "", reason))
         exchange = self._create_exchange(request, request_id, route, deadline_s)
         if exchange.deadline - request.arrived_at < MIN_TIME_LEFT_S:
             return self._build_refusal(request_id, NotRun("deadline", "", "no time is left", 408))
--- a/src/sycamorebay/transport/gateway/gateway.py
+++ b/src/sycamorebay/transport/gateway/gateway.py
@@ -42,6 +42,7 @@
 # Keeps a background task that fails at once from using a whole processor core.
 TASK_RESTART_DELAY_S = 0.1
 LISTEN_BACKLOG = 512
+MAX_LOGGED_FAULTS = 8
 
 _log = log.get_logger("gateway")
 
@@ -263,6 +264,21 @@
         self._forwarder.on_routing(routing)
         self._caller_listener.request_limits = routing.request_limits
         _log.warning("configuration in force", version=routing.version, routes=len(routing.routes))
+        self._report_faults(routing)
+
+    def _report_faults(self, routing: RoutingTable) -> None:
+        """Log and count what could not be decoded in a routing table."""
+        unreadable = [f"route {route.name}: {route.reason}" for route in routing.unreadable_routes]
+        faults = [*unreadable, *routing.faults]
+        if not faults:
+            return
+        self._counters.undecodable += len(faults)
+        _log.warning(
+            "configuration decoded in part",
+            version=routing.version,
+            faults=faults[:MAX_LOGGED_FAULTS],
+            count=len(faults),
+        )
 
     def _on_server(self, now: float, item: StoredItem, keep_missing_until: float) -> bool:
         server_id = self._documents.server_id(item.key)
