Give each test process ports of its own

Cause: `free_port` drew ports at random, so two of the 48 ports of a test with twelve gateways were the same in 5 of 100 draws, and two test processes could be given the same one. In a run of the gateways' tests it failed once more (port 12767, `test_a_late_extra_answer_is_discarded`).

Change: a process claims a block of 64 ports by listening on the first one, and hands out the others one after the other.

--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -7,7 +7,7 @@
 import os
 import random
 import socket
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import asynccontextmanager
 from typing import Any
 
@@ -27,6 +27,8 @@
 
 HOST = "desk.test"
 _PORTS = (10_240, 32_000)
+_BLOCK_SIZE = 64
+_GUARDS: list[socket.socket] = []
 # Seeded by the system, so that concurrent test processes draw different ports.
 _RNG = random.SystemRandom()
 
@@ -65,22 +67,59 @@
     }
 
 
-def free_port() -> int:
-    """Return a port that is free for TCP and UDP.
+class _PortBlock:
+    """Ports of this process; no other test process hands out the same ones.
 
-    It lies below the range of ephemeral ports: an outgoing connection could otherwise occupy the
-    port between this check and the bind.
+    A process owns a block of ports while it listens on the first of them. The blocks lie below the
+    range of ephemeral ports: an outgoing connection could otherwise occupy a port of theirs.
     """
-    while True:
-        port = _RNG.randrange(*_PORTS)
-        with (
-            contextlib.suppress(OSError),
-            socket.socket() as stream,
-            socket.socket(type=socket.SOCK_DGRAM) as datagrams,
-        ):
-            for sock in (stream, datagrams):
-                sock.bind(("127.0.0.1", port))
-            return port
+
+    def __init__(self) -> None:
+        self._ports: Iterator[int] = iter(())
+
+    def next(self) -> int:
+        """Return a port that is free for TCP and UDP and was not returned before."""
+        while True:
+            port = next(self._ports, None)
+            if port is None:
+                self._claim()
+            elif _is_free(port):
+                return port
+
+    def _claim(self) -> None:
+        while True:
+            first = _RNG.randrange(*_PORTS, _BLOCK_SIZE)
+            guard = socket.socket()
+            try:
+                guard.bind(("127.0.0.1", first))
+                guard.listen()
+            except OSError:
+                guard.close()
+                continue
+            # Blocks used up earlier stay claimed, as their ports may still be in use.
+            _GUARDS.append(guard)
+            self._ports = iter(range(first + 1, first + _BLOCK_SIZE))
+            return
+
+
+_PORT_BLOCK = _PortBlock()
+
+
+def _is_free(port: int) -> bool:
+    with (
+        contextlib.suppress(OSError),
+        socket.socket() as stream,
+        socket.socket(type=socket.SOCK_DGRAM) as datagrams,
+    ):
+        for sock in (stream, datagrams):
+            sock.bind(("127.0.0.1", port))
+        return True
+    return False
+
+
+def free_port() -> int:
+    """Return a port that is free for TCP and UDP, and that no other test process is given."""
+    return _PORT_BLOCK.next()
 
 
 @attrs.define
