--- a/src/sycamorebay/coordination/placing.py
+++ b/src/sycamorebay/coordination/placing.py
@@ -17,7 +17,13 @@
 
 import attrs
 
-from sycamorebay.coordination.server_load import MeanSlowdown, ServerLoad, ServerReport
+from sycamorebay.coordination.server_load import (
+    REPORT_HORIZON_S,
+    MeanSlowdown,
+    ServerLoad,
+    ServerReport,
+)
+from sycamorebay.coordination.subset import ServerSubset
 from sycamorebay.state.server_entries import ServerEntry
 
 # Processing time assumed for a route without any answer yet.
@@ -185,6 +191,14 @@
         Seeded random source.
     connected : callable
         Given the id of a backend server, returns whether an idle connection to it is open.
+
+    Attributes
+    ----------
+    work : WorkTable
+        Estimated work of each route.
+    subset : ServerSubset or None
+        The servers that this daemon uses; None if it uses all. Requests are then placed on those
+        with a recent report, as the other daemons' requests are not known otherwise.
     """
 
     def __init__(
@@ -199,6 +213,7 @@
         self._pools_by_service: dict[str, _Pool] = {}
         self._pool_by_server: dict[str, _Pool] = {}
         self.work = WorkTable()
+        self.subset: ServerSubset | None = None
 
     def on_servers(self, now: float, entries: Iterable[ServerEntry]) -> None:
         """Replace the list of backend servers.
@@ -316,8 +331,10 @@
             decisions += self._dispatch_queue(now, pool)
         return decisions
 
-    def is_waiting(self) -> bool:
-        """Return whether any request waits."""
+    def is_waiting(self, service: str | None = None) -> bool:
+        """Return whether any request waits, for one service or for any."""
+        if service is not None:
+            return bool(self._pool(service).queue)
         return any(pool.queue for pool in self._pools_by_service.values())
 
     def _pool(self, service: str) -> _Pool:
@@ -355,7 +372,7 @@
         """
         work = self.work.get(request.route)
         best, lowest_cost = None, float("inf")
-        for load in pool.loads_by_id.values():
+        for load in self._candidates(now, pool, request.service):
             if not load.usable(now) or load.entry.id in request.tried:
                 continue
             if load.in_flight(now) >= load.target_slots:
@@ -367,6 +384,14 @@
                 best, lowest_cost = load, cost
         return best
 
+    def _candidates(self, now: float, pool: _Pool, service: str) -> Iterable[ServerLoad]:
+        loads = pool.loads_by_id
+        if self.subset is None:
+            return loads.values()
+        used = [loads[server_id] for server_id in self.subset.all(service) if server_id in loads]
+        reported = [load for load in used if now - load.reported_at <= REPORT_HORIZON_S]
+        return reported or used
+
     def _can_wait_for_goal(self, now: float, request: PlacementRequest) -> bool:
         """Return whether the request can still wait for a server that meets its goal."""
         return now <= self._latest_start(request)
--- a/src/sycamorebay/coordination/store_cache.py
+++ b/src/sycamorebay/coordination/store_cache.py
@@ -7,8 +7,8 @@
 from sycamorebay.state.stored import Listing, StoredItem
 
 # Deleted keys are kept as tombstones, so that an older write cannot restore them. The oldest
-# tombstones are dropped when the cache holds more items than this.
-MAX_DELETED = 4096
+# tombstones are dropped when there are more than this.
+MAX_TOMBSTONES = 4096
 
 
 class StoreCache:
@@ -25,14 +25,19 @@
 
     def __init__(self) -> None:
         self._by_key: dict[str, StoredItem] = {}
+        self._tombstone_count = 0
+        self._complete_after = 0
         self.version = 0
 
     def on_listing(self, listing: Listing) -> list[StoredItem]:
         """Merge a complete listing and return the items that changed.
 
         Items may be later than the listing's version, because the pages of a listing are not read
-        from one snapshot.
+        from one snapshot. A listing older than this cache is ignored, as it may hold keys whose
+        tombstones were dropped.
         """
+        if listing.version < self.version:
+            return []
         changed = self._merge(listing.items)
         listed = {item.key for item in listing.items}
         deleted = [
@@ -60,6 +65,18 @@
         self.version = max(self.version, version)
         return changed
 
+    def changes_after(self, version: int) -> tuple[StoredItem, ...] | None:
+        """Return the items that changed after a version, deleted ones included.
+
+        Returns
+        -------
+        tuple of StoredItem or None
+            None if tombstones of changes after that version were dropped.
+        """
+        if version < self._complete_after:
+            return None
+        return tuple(item for item in self._by_key.values() if item.version > version)
+
     def items(self) -> tuple[StoredItem, ...]:
         """Return all items except deleted ones."""
         return tuple(item for item in self._by_key.values() if item.value is not None)
@@ -70,16 +87,19 @@
             known = self._by_key.get(item.key)
             if known is not None and known.version >= item.version:
                 continue
+            was_deleted = known is not None and known.value is None
+            self._tombstone_count += (item.value is None) - was_deleted
             self._by_key[item.key] = item
             if item.value is not None or (known is not None and known.value is not None):
                 changed.append(item)
-        self._drop_old_tombstones()
+        if self._tombstone_count > MAX_TOMBSTONES:
+            self._drop_old_tombstones()
         return changed
 
     def _drop_old_tombstones(self) -> None:
-        if len(self._by_key) <= MAX_DELETED:
-            return
-        deleted = [item for item in self._by_key.values() if item.value is None]
-        deleted.sort(key=lambda item: item.version)
-        for item in deleted[: len(self._by_key) - MAX_DELETED]:
+        tombstones = [item for item in self._by_key.values() if item.value is None]
+        tombstones.sort(key=lambda item: item.version)
+        for item in tombstones[: len(tombstones) - MAX_TOMBSTONES]:
             del self._by_key[item.key]
+            self._tombstone_count -= 1
+            self._complete_after = max(self._complete_after, item.version)
--- /dev/null
+++ b/src/sycamorebay/coordination/subset.py
@@ -0,0 +1,66 @@
+"""Subset of the backend servers that one daemon of a large fleet sends requests to.
+
+Each daemon keeps connections to a few servers of each service only, so the number of connections
+does not grow with the product of daemons and servers. Rendezvous hashing spreads the daemons evenly
+over the servers, and a server that joins or leaves changes few subsets.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable
+
+from sycamorebay.state.server_entries import ServerEntry
+
+# Servers of each service in the daemon's own failure domain.
+NEAR_SERVERS = 16
+# Servers in other failure domains, for the time when those near are busy or gone.
+FAR_SERVERS = 6
+
+
+class ServerSubset:
+    """The servers of each service that one daemon uses.
+
+    Parameters
+    ----------
+    daemon : str
+        Name of the daemon.
+    failure_domain : str
+        Failure domain of the daemon.
+    """
+
+    def __init__(self, daemon: str, failure_domain: str) -> None:
+        self._daemon = daemon
+        self._failure_domain = failure_domain
+        self._hashes_by_server: dict[str, bytes] = {}
+        self._near_by_service: dict[str, list[str]] = {}
+        self._far_by_service: dict[str, list[str]] = {}
+
+    def on_servers(self, entries: Iterable[ServerEntry]) -> None:
+        """Replace the list of backend servers; those that leave are not used."""
+        staying = [entry for entry in entries if not entry.leaving]
+        known = self._hashes_by_server
+        self._hashes_by_server = {
+            entry.id: known.get(entry.id) or self._hash(entry.id) for entry in staying
+        }
+        staying.sort(key=lambda entry: self._hashes_by_server[entry.id])
+        self._near_by_service, self._far_by_service = {}, {}
+        for entry in staying:
+            if entry.failure_domain == self._failure_domain:
+                servers_by_service, limit = self._near_by_service, NEAR_SERVERS
+            else:
+                servers_by_service, limit = self._far_by_service, FAR_SERVERS
+            servers = servers_by_service.setdefault(entry.service, [])
+            if len(servers) < limit:
+                servers.append(entry.id)
+
+    def near(self, service: str) -> list[str]:
+        """Return the ids of the servers of a service in the own failure domain."""
+        return self._near_by_service.get(service, [])
+
+    def all(self, service: str) -> list[str]:
+        """Return the ids of all servers of a service in the subset, those near first."""
+        return self.near(service) + self._far_by_service.get(service, [])
+
+    def _hash(self, server_id: str) -> bytes:
+        return hashlib.blake2b(f"{self._daemon}/{server_id}".encode(), digest_size=8).digest()
--- a/src/sycamorebay/platform/boot.py
+++ b/src/sycamorebay/platform/boot.py
@@ -78,6 +78,9 @@
             window_s=read_field(seconds, parameters, "retry_window"),
         ),
         stop_s=read_field(seconds, parameters, "grace"),
+        domain_count=_domain_count(document),
+        link_mbps=_link_mbps(document),
+        first_start=isinstance(document, dict) and document.get("bootstrap") is True,
     )
     store = str(read_field(text, provider, "addr"))
     if faults:
@@ -85,6 +88,19 @@
     return settings, store
 
 
+def _domain_count(document: Any) -> int:
+    zones = document.get("zones") if isinstance(document, dict) else None
+    return max(1, len(zones)) if isinstance(zones, dict) else 1
+
+
+def _link_mbps(document: Any) -> float:
+    """Return the bandwidth of the VM's link; 0 if the settings do not tell it."""
+    try:
+        return number(table(document, "limits"), "link_mbps")
+    except ValueFault:
+        return 0.0
+
+
 def boot_path() -> str:
     """Return the path of the settings file, or an empty string if the platform set none."""
     return os.environ.get(BOOT_VARIABLE, "")
--- a/src/sycamorebay/protocol/store_items.py
+++ b/src/sycamorebay/protocol/store_items.py
@@ -1,4 +1,4 @@
-"""Codec of store items and of whole cache snapshots that daemons send to each other."""
+"""Codec of store items, and of copies of the store cache that daemons fetch from each other."""
 
 from __future__ import annotations
 
@@ -8,14 +8,38 @@
 from collections.abc import Iterable
 from typing import Any
 
+import attrs
+
 from sycamorebay.state.stored import StoredItem
 
 Row = list[str | int | None]
 
 
+@attrs.frozen
+class CacheCopy:
+    """Items of a daemon's store cache.
+
+    Attributes
+    ----------
+    items : tuple of StoredItem
+        All items, or those that changed after a version, deleted ones included.
+    version : int
+        Version of the store up to which they are complete.
+    after : int or None
+        Version after which the items changed; None for a whole copy.
+    """
+
+    items: tuple[StoredItem, ...]
+    version: int
+    after: int | None = None
+
+
 def items_to_rows(items: Iterable[StoredItem]) -> list[Row]:
-    """Return items as rows for JSON: key, value in Base64 or None, and version."""
-    return [[item.key, _encode_value(item.value), item.version] for item in items]
+    """Return items as rows for JSON: key, value or None, and version.
+
+    A value that is not UTF-8 is written in Base64, which a fourth element of its row tells.
+    """
+    return [_row(item) for item in items]
 
 
 def rows_to_items(rows: Iterable[Any]) -> list[StoredItem]:
@@ -23,46 +47,50 @@
 
     Raises
     ------
-    ValueError, TypeError
-        If a row is not a key, a value in Base64 or None, and a version.
+    ValueError, TypeError, AttributeError
+        If a row is malformed.
     """
-    return [
-        StoredItem(str(key), _decode_value(value), int(version)) for key, value, version in rows
-    ]
+    return [_item(row) for row in rows]
 
 
-def encode_snapshot(items: Iterable[StoredItem], version: int) -> bytes:
-    """Return a compressed snapshot of the store cache, for a peer that fetches it.
+def encode_copy(copy: CacheCopy) -> bytes:
+    """Return the compressed bytes of a copy."""
+    document = {"version": copy.version, "after": copy.after, "items": items_to_rows(copy.items)}
+    return zlib.compress(json.dumps(document).encode(), 1)
 
-    Parameters
-    ----------
-    items : iterable of StoredItem
-        All items of the cache.
-    version : int
-        Version of the store up to which they are complete.
-    """
-    snapshot = {"version": version, "items": items_to_rows(items)}
-    return zlib.compress(json.dumps(snapshot).encode(), 1)
 
-
-def decode_snapshot(data: bytes) -> tuple[list[StoredItem], int]:
-    """Return the items and the version of a peer's snapshot.
+def decode_copy(data: bytes) -> CacheCopy:
+    """Return the copy that was encoded as `data`.
 
     Raises
     ------
     ValueError
-        If the data is not a snapshot.
+        If the data is not a copy of a store cache.
     """
     try:
-        snapshot = json.loads(zlib.decompress(data))
-        return rows_to_items(snapshot["items"]), int(snapshot["version"])
-    except (KeyError, TypeError, zlib.error) as error:
-        raise ValueError(f"the data is not a snapshot of the store cache: {error!r}") from error
-
-
-def _encode_value(value: bytes | None) -> str | None:
-    return None if value is None else base64.b64encode(value).decode()
+        document = json.loads(zlib.decompress(data))
+        after = document["after"]
+        return CacheCopy(
+            tuple(rows_to_items(document["items"])),
+            int(document["version"]),
+            None if after is None else int(after),
+        )
+    except (KeyError, TypeError, AttributeError, zlib.error) as error:
+        raise ValueError(f"the data is not a copy of a store cache: {error!r}") from error
+
+
+def _row(item: StoredItem) -> Row:
+    if item.value is None:
+        return [item.key, None, item.version]
+    try:
+        return [item.key, item.value.decode(), item.version]
+    except UnicodeDecodeError:
+        return [item.key, base64.b64encode(item.value).decode(), item.version, 1]
 
 
-def _decode_value(text: str | None) -> bytes | None:
-    return None if text is None else base64.b64decode(text)
+def _item(row: Any) -> StoredItem:
+    key, value, version, *is_base64 = row
+    if value is None:
+        return StoredItem(str(key), None, int(version))
+    data = base64.b64decode(value) if is_base64 else value.encode()
+    return StoredItem(str(key), data, int(version))
--- a/src/sycamorebay/transport/gateway/counters.py
+++ b/src/sycamorebay/transport/gateway/counters.py
@@ -56,6 +56,12 @@
         self.store_calls = 0
         self.store_failures = 0
         self.peer_datagrams = 0
+        self.datagrams_sent = 0
+        self.datagram_bytes_sent = 0
+        self.undecodable_datagrams = 0
+        self.other_version_datagrams = 0
+        self.peer_fetches = 0
+        self.peer_fetch_failures = 0
         self.undecodable = 0
         self.refusals_by_step: dict[tuple[str, str], int] = {}
         self.answered = LatencyHistogram()
--- a/src/sycamorebay/transport/gateway/exposition.py
+++ b/src/sycamorebay/transport/gateway/exposition.py
@@ -26,6 +26,12 @@
     "store_calls": "Calls to the store.",
     "store_failures": "Calls to the store that failed.",
     "peer_datagrams": "Datagrams from other daemons.",
+    "datagrams_sent": "Datagrams to other daemons.",
+    "datagram_bytes_sent": "Bytes of datagrams to other daemons.",
+    "undecodable_datagrams": "Datagrams that could not be decoded.",
+    "other_version_datagrams": "Datagrams of another version of the protocol.",
+    "peer_fetches": "Copies of the store requested from other daemons.",
+    "peer_fetch_failures": "Copies of the store that other daemons did not deliver.",
     "undecodable": "Items of the store that could not be read.",
 }
 
--- a/src/sycamorebay/transport/gateway/forward.py
+++ b/src/sycamorebay/transport/gateway/forward.py
@@ -9,7 +9,7 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from itertools import count
 
 from sycamorebay import log
@@ -61,6 +61,11 @@
     on_load_changed : callable
         Called with a server's id and whether a request to it failed, so that the load is sent to
         the other daemons.
+    refresh : callable
+        Coroutine function that makes the loads of some servers of a service current before a
+        request is placed.
+    on_wait : callable
+        Called with a service for which a request begins to wait.
 
     Attributes
     ----------
@@ -77,6 +82,8 @@
         daemon_count: Callable[[], int],
         counters: Counters,
         on_load_changed: Callable[[str, bool], None],
+        refresh: Callable[[str], Awaitable[None]],
+        on_wait: Callable[[str], None],
     ) -> None:
         self._placer = placer
         self._header_codec = header_codec
@@ -89,6 +96,8 @@
         self._exchange_ids = count(1)
         self.routing: RoutingTable | None = None
         self._on_load_changed = on_load_changed
+        self._refresh = refresh
+        self._on_wait = on_wait
         self._sender = Sender(
             placer, pool, header_codec, counters, self._on_first_send, on_load_changed
         )
@@ -196,9 +205,11 @@
 
     async def _decide(self, exchange: Exchange) -> Decision:
         loop = asyncio.get_running_loop()
+        await self._refresh(exchange.service)
         decision = self._placer.on_request(loop.time(), exchange.placement_request)
         if not isinstance(decision, Wait):
             return decision
+        self._on_wait(exchange.service)
         future: asyncio.Future[Decision] = loop.create_future()
         self._futures_by_id[exchange.id] = future
         try:
@@ -259,15 +270,16 @@
             sends.append(first)
             await asyncio.wait([first], timeout=hedge_at - loop.time())
             if not first.done():
-                place = self._hedge(exchange)
+                place = await self._hedge(exchange)
                 if place is not None:
                     sends.append(loop.create_task(self._send(exchange, place.server)))
             return await _first_deliverable(sends)
 
-    def _hedge(self, exchange: Exchange) -> Place | None:
-        now = asyncio.get_running_loop().time()
+    async def _hedge(self, exchange: Exchange) -> Place | None:
         if exchange.sends >= exchange.route.attempts:
             return None
+        await self._refresh(exchange.service)
+        now = asyncio.get_running_loop().time()
         if not self._budget(exchange.service).take(now, self._daemon_count(), HEDGE_BUDGET_SHARE):
             return None
         place = self._placer.on_hedge(now, exchange.placement_request)
--- a/src/sycamorebay/transport/gateway/gateway.py
+++ b/src/sycamorebay/transport/gateway/gateway.py
@@ -6,17 +6,17 @@
 import random
 import signal
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Protocol
 
-import attrs
-
 from sycamorebay import log
+from sycamorebay.coordination.fleet_view import Contact, FleetView
 from sycamorebay.coordination.placing import Placer
 from sycamorebay.coordination.readers import Candidate
+from sycamorebay.coordination.subset import ServerSubset
 from sycamorebay.protocol.header_codec import HeaderCodec
-from sycamorebay.protocol.store_items import encode_snapshot
+from sycamorebay.protocol.store_items import encode_copy
 from sycamorebay.state.routing import RoutingTable
 from sycamorebay.state.server_entries import ServerEntries, ServerEntry
 from sycamorebay.state.stored import StoredItem
@@ -28,17 +28,19 @@
 from sycamorebay.transport.gateway.log_writer import LogWriter
 from sycamorebay.transport.gateway.peer import OwnState, PeerCallbacks
 from sycamorebay.transport.gateway.peers import Peers
-from sycamorebay.transport.gateway.probing import ProbeTask
+from sycamorebay.transport.gateway.probing import Prober, ProbeTask, ReportRefresher
 from sycamorebay.transport.gateway.settings import GatewaySettings
 from sycamorebay.transport.gateway.sockets import split_address
-from sycamorebay.transport.gateway.store_sync import ChangeFeed, StoreSync
+from sycamorebay.transport.gateway.store_sync import COPY_PATH, ChangeFeed, StoreSync
+from sycamorebay.transport.gateway.ticks import TickTask
 
 # The platform checks readiness each second and removes a daemon from rotation after two failed
 # checks.
 ROTATION_REMOVAL_S = 2.5
 # Reserved at the end of the stop time, so that the process exits before SIGKILL.
 STOP_MARGIN_S = 0.7
-TICK_S = 0.01
+# Between probes on behalf of requests that wait.
+WAITING_REFRESH_INTERVAL_S = 0.02
 # Keeps a background task that fails at once from using a whole processor core.
 TASK_RESTART_DELAY_S = 0.1
 LISTEN_BACKLOG = 512
@@ -120,29 +122,47 @@
         self._pool = ConnectionPool(self._loop.time)
         self._entries = ServerEntries()
         self._placer = Placer(settings.failure_domain, random.Random(), self._is_connected)
-        own = Candidate(settings.name, settings.failure_domain, True)
-        feed = open_feed(self._pool, self._counters)
-        self._store_sync = StoreSync(own, feed, self._pool, self._on_store_changes)
-        self._peers = self._open_peers()
+        own = Contact(
+            settings.name,
+            split_address(settings.datagrams),
+            settings.failure_domain,
+            settings.link_mbps,
+        )
+        seeds = [split_address(seed) for seed in settings.seeds if seed != settings.datagrams]
+        self._store_sync = StoreSync(
+            Candidate(own, True),
+            open_feed(self._pool, self._counters),
+            self._pool,
+            self._counters,
+            self._on_store_changes,
+            first_start=settings.first_start,
+        )
+        self._peers = self._open_peers(own, seeds)
         self._store_sync.peers = self._peers
-        self._forwarder = Forwarder(
+        self._subset = ServerSubset(settings.name, settings.failure_domain)
+        prober = Prober(
             self._placer,
             self._pool,
             header_codec,
-            settings.retries,
-            self._daemon_count,
+            lambda: self._forwarder.routing,
             self._counters,
             self._peers.loads.on_load_changed,
         )
-        self._probe_task = ProbeTask(
-            settings.name,
+        self._refresher = ReportRefresher(self._placer, self._subset, prober, random.Random())
+        self._forwarder = Forwarder(
             self._placer,
             self._pool,
             header_codec,
-            self._peers,
-            lambda: self._forwarder.routing,
+            settings.retries,
+            self._peers.fleet_size,
             self._counters,
+            self._peers.loads.on_load_changed,
+            self._refresh,
+            self._on_wait,
         )
+        self._probe_task = ProbeTask(settings.name, self._placer, prober, self._peers)
+        self._tick_task = TickTask(self._tick, self._placer.is_waiting)
+        self._refresh_tasks_by_service: dict[str, asyncio.Task[None]] = {}
         self._caller_listener = Listener(
             self._forwarder.forward, may_overlap=self._forwarder.may_overlap
         )
@@ -177,7 +197,12 @@
 
     def _background_tasks(self) -> list[BackgroundTask]:
         """Return the tasks that run beside the handling of requests."""
-        return [self._store_sync, self._peers, self._probe_task, _Ticks(self._tick)]
+        return [
+            self._store_sync,
+            self._peers,
+            self._probe_task,
+            self._tick_task,
+        ]
 
     @asynccontextmanager
     async def _open(self, address: str, listener: Listener) -> AsyncIterator[asyncio.Server]:
@@ -190,26 +215,14 @@
         finally:
             server.close()
 
-    def _open_peers(self) -> Peers:
+    def _open_peers(self, contact: Contact, seeds: list[tuple[str, int]]) -> Peers:
         settings = self._settings
-        own = OwnState(
-            settings.name,
-            settings.datagrams,
-            settings.control,
-            settings.failure_domain,
-            # Wall time distinguishes restarts. After a step back, peers ignore this daemon until
-            # they have dropped its previous incarnation.
-            incarnation=time.time_ns() // 1_000_000,
-        )
-        store_sync = self._store_sync
-        callbacks = PeerCallbacks(
-            store_sync.on_peer_changes,
-            store_sync.on_newer_peer,
-            store_sync.on_confirmed,
-            self._on_capacity,
-        )
-        seeds = [split_address(seed) for seed in settings.seeds if seed != settings.datagrams]
-        return Peers(own, seeds, self._placer, callbacks, self._counters)
+        # Wall time distinguishes restarts. After a step back, peers ignore this daemon until
+        # they have dropped its previous incarnation.
+        own = OwnState(contact, settings.control, incarnation=time.time_ns() // 1_000_000)
+        view = FleetView(contact, settings.domain_count, random.Random())
+        callbacks = PeerCallbacks(self._store_sync, self._on_capacity)
+        return Peers(own, seeds, view, self._placer, callbacks, self._counters)
 
     async def _stop(self, caller_server: asyncio.Server) -> None:
         """Drain the daemon: leave the rotation, answer open requests and close connections.
@@ -300,6 +313,7 @@
 
     def _on_servers(self, now: float) -> None:
         self._placer.on_servers(now, self._entries)
+        self._subset.on_servers(self._entries)
         self._peers.loads.on_servers()
         self._on_capacity()
 
@@ -307,8 +321,27 @@
         if self._placer.is_waiting():
             self._forwarder.on_decisions(self._placer.on_tick(self._loop.time()))
 
+    async def _refresh(self, service: str) -> None:
+        """Make loads current before a request is placed; in a small fleet they always are."""
+        if self._peers.in_large_fleet:
+            await self._refresher.refresh(service)
+
+    def _on_wait(self, service: str) -> None:
+        self._tick_task.wake()
+        if self._peers.in_large_fleet and service not in self._refresh_tasks_by_service:
+            task = self._loop.create_task(self._refresh_while_waiting(service))
+            self._refresh_tasks_by_service[service] = task
+            task.add_done_callback(lambda _: self._refresh_tasks_by_service.pop(service, None))
+
+    async def _refresh_while_waiting(self, service: str) -> None:
+        while self._placer.is_waiting(service):
+            await self._refresher.refresh(service, wide=True)
+            self._on_capacity()
+            await asyncio.sleep(WAITING_REFRESH_INTERVAL_S)
+
     def _tick(self) -> None:
         now = self._loop.time()
+        self._placer.subset = self._subset if self._peers.in_large_fleet else None
         if self._entries.expire(now):
             self._on_servers(now)
         self._on_capacity()
@@ -317,9 +350,6 @@
         entry = self._entries.get(server_id)
         return entry is not None and self._pool.has_idle(entry.address)
 
-    def _daemon_count(self) -> int:
-        return 1 + len(self._peers.alive())
-
     def _is_ready(self) -> bool:
         configured = self._forwarder.routing is not None and len(self._entries) > 0
         return configured and not self._stopping.is_set()
@@ -328,24 +358,14 @@
         return CallerAnswer(200 if self._is_ready() else 503, [])
 
     async def _on_control(self, request: CallerRequest) -> CallerAnswer:
-        if request.path == "/directory":
-            cache = self._store_sync.cache
-            return CallerAnswer(200, [], encode_snapshot(cache.items(), cache.version))
+        if request.path == COPY_PATH:
+            after = request.target.rpartition("after=")[2]
+            if not after.isdecimal():
+                return CallerAnswer(400, [])
+            return CallerAnswer(200, [], encode_copy(self._store_sync.copy_after(int(after))))
         if request.path == "/metrics":
             text = self._counters.text(
                 self._log_writer.dropped, len(self._caller_listener.connections)
             )
             return CallerAnswer(200, [(b"content-type", b"text/plain; version=0.0.4")], text)
         return CallerAnswer(404, [])
-
-
-@attrs.frozen
-class _Ticks:
-    """Background task that calls a function every `TICK_S` seconds."""
-
-    action: Callable[[], None]
-
-    async def run(self) -> None:
-        while True:
-            await asyncio.sleep(TICK_S)
-            self.action()
--- a/src/sycamorebay/transport/gateway/peer.py
+++ b/src/sycamorebay/transport/gateway/peer.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Protocol
 
 import attrs
 
+from sycamorebay.coordination.fleet_view import Contact
 from sycamorebay.coordination.readers import Candidate
 from sycamorebay.state.stored import StoredItem
 
@@ -21,16 +23,14 @@
 
     Attributes
     ----------
-    name : str
-        Unique in the fleet.
-    address : tuple of (str, int)
-        Receives datagrams.
+    contact : Contact
+        Its name, address and failure domain.
     control : str
-        ``IP:port`` that serves the whole copy of the store.
-    failure_domain : str
-        Failure domain that the daemon runs in.
+        ``IP:port`` that serves copies of the store.
     incarnation : int
         Distinguishes its restarts; a larger number is a later start.
+    is_relay : bool
+        Whether it is a relay.
     last_seen_at : float
         When its last heartbeat arrived.
     version : int
@@ -44,58 +44,72 @@
         Silence after which the peer is removed, in seconds.
     """
 
-    name: str
-    address: tuple[str, int]
+    contact: Contact
     control: str
-    failure_domain: str
     incarnation: int
+    is_relay: bool
     last_seen_at: float
     version: int = 0
     confirmed_at: float = float("-inf")
     reaches_store: bool = False
     timeout_s: float = INITIAL_TIMEOUT_S
 
+    @property
+    def name(self) -> str:
+        """Name of the daemon, unique in the fleet."""
+        return self.contact.name
+
     def candidate(self) -> Candidate:
         """Return the peer as a candidate for a reader of the store."""
-        return Candidate(self.name, self.failure_domain, self.reaches_store)
+        return Candidate(self.contact, self.reaches_store)
 
 
 @attrs.define
 class OwnState:
-    """State of this daemon that its heartbeats carry.
-
-    The attributes have the same meaning as those of `Peer`, but `address` is ``IP:port``.
-    """
+    """State of this daemon that its heartbeats carry; the attributes are as in `Peer`."""
 
-    name: str
-    address: str
+    contact: Contact
     control: str
-    failure_domain: str
     incarnation: int
     version: int = 0
     confirmed_at: float = float("-inf")
     reaches_store: bool = False
 
+    @property
+    def name(self) -> str:
+        """Name of this daemon, unique in the fleet."""
+        return self.contact.name
+
+
+class PeerEvents(Protocol):
+    """Receives what peers report about the store."""
+
+    def on_peer_changes(
+        self, after: int, items: tuple[StoredItem, ...], version: int, peer: Peer
+    ) -> None:
+        """Apply changes between two versions that a peer sent."""
+        ...
+
+    def on_newer_peer(self, peer: Peer) -> None:
+        """Handle a peer that has a later version of the store."""
+        ...
+
+    def on_confirmed(self, at: float) -> None:
+        """Record that the copy here was up to date at a time, in seconds."""
+        ...
+
 
 @attrs.frozen
 class PeerCallbacks:
-    """Functions called for messages from peers.
+    """What is called for messages from peers.
 
     Attributes
     ----------
-    on_changes : callable
-        Called with the version before the changes, the changed items, the version after them, and
-        the peer.
-    on_newer_peer : callable
-        Called with a peer that has a later version of the store.
-    on_confirmed : callable
-        Called with the time at which a reader confirmed that the copy here is up to date, in
-        seconds on the event loop's clock.
+    events : PeerEvents
+        Receives what peers report about the store.
     on_capacity : callable
         Called when a backend server may have free slots.
     """
 
-    on_changes: Callable[[int, list[StoredItem], int, Peer], None]
-    on_newer_peer: Callable[[Peer], None]
-    on_confirmed: Callable[[float], None]
+    events: PeerEvents
     on_capacity: Callable[[], None]
--- /dev/null
+++ b/src/sycamorebay/transport/gateway/peer_sender.py
@@ -0,0 +1,147 @@
+"""Composes the messages of this daemon to its peers and sends them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from random import Random
+
+from sycamorebay.coordination.fleet_view import Address, Contact, FleetView
+from sycamorebay.protocol.peer_messages import Heartbeat, PeerMessage, encode_message
+from sycamorebay.transport.gateway.counters import Counters
+from sycamorebay.transport.gateway.peer import OwnState, Peer
+
+# Relays named in each heartbeat, so that the view of its receiver stays complete.
+GOSSIP_CONTACTS = 2
+# Stated as the age of a copy that was never confirmed.
+_NEVER_CONFIRMED_S = 1e6
+
+
+class PeerSender:
+    """Sends heartbeats and other messages.
+
+    Parameters
+    ----------
+    own : OwnState
+        State of this daemon that heartbeats carry.
+    view : FleetView
+        Knows the relays, and the role of this daemon.
+    counters : Counters
+        Metrics of this daemon.
+    rng : random.Random
+        Seeded random source.
+
+    Attributes
+    ----------
+    transport : asyncio.DatagramTransport or None
+        Sends datagrams; nothing is sent until it is set.
+    """
+
+    def __init__(self, own: OwnState, view: FleetView, counters: Counters, rng: Random) -> None:
+        self.transport: asyncio.DatagramTransport | None = None
+        self._own = own
+        self._view = view
+        self._counters = counters
+        self._rng = rng
+        self._loop = asyncio.get_running_loop()
+
+    def send_heartbeat(self, peers: Iterable[Peer], interval_s: float) -> None:
+        """Send a heartbeat to peers; leaves hear of relays in their own failure domain only.
+
+        Parameters
+        ----------
+        peers : iterable of Peer
+            The receivers.
+        interval_s : float
+            Longest time until the next heartbeat to them, in seconds.
+        """
+        receivers = list(peers)
+        relays = [peer.contact for peer in receivers if peer.is_relay]
+        leaves = [peer.contact for peer in receivers if not peer.is_relay]
+        if not self._view.is_relay:
+            for relay in relays:
+                self._send_as_leaf(relay, interval_s)
+            return
+        for contacts, failure_domain in (
+            (relays, None),
+            (leaves, self._own.contact.failure_domain),
+        ):
+            if contacts:
+                heartbeat = self._heartbeat(interval_s, contacts=self._gossip(failure_domain))
+                self.send(heartbeat, [contact.address for contact in contacts])
+
+    def ask(self, addresses: Iterable[Address], interval_s: float, primary: bool = False) -> None:
+        """Send a heartbeat that asks its receivers for an introduction."""
+        self.send(self._heartbeat(interval_s, asks=True, primary=primary), addresses)
+
+    def introduce(self, contact: Contact, is_relay: bool, interval_s: float) -> None:
+        """Send a heartbeat with the relays that a daemon has to know.
+
+        Parameters
+        ----------
+        contact : Contact
+            The receiver.
+        is_relay : bool
+            Whether the receiver takes itself for a relay.
+        interval_s : float
+            Longest time until the next heartbeat to it, in seconds.
+        """
+        knows_all_domains = is_relay and self._view.admits(contact)
+        relays = self._view.heard_relays(None if knows_all_domains else contact.failure_domain)
+        self.send(self._heartbeat(interval_s, contacts=relays), [contact.address])
+
+    def is_primary(self, relay: str) -> bool:
+        """Return whether a relay is the primary one of this daemon, a leaf."""
+        if self._view.is_relay:
+            return False
+        return relay in [contact.name for contact in self._view.home_relays()[:1]]
+
+    def send(self, message: PeerMessage, addresses: Iterable[Address]) -> None:
+        """Send a message."""
+        self.send_bytes(encode_message(message), addresses)
+
+    def send_bytes(self, data: bytes, addresses: Iterable[Address]) -> None:
+        """Send the bytes of a message."""
+        if self.transport is None:
+            return
+        for address in addresses:
+            self._counters.datagrams_sent += 1
+            self._counters.datagram_bytes_sent += len(data)
+            self.transport.sendto(data, address)
+
+    def _send_as_leaf(self, relay: Contact, interval_s: float) -> None:
+        heartbeat = self._heartbeat(interval_s, primary=self.is_primary(relay.name))
+        self.send(heartbeat, [relay.address])
+
+    def _gossip(self, failure_domain: str | None) -> list[Contact]:
+        known = self._view.heard_relays(failure_domain)
+        return self._rng.sample(known, min(GOSSIP_CONTACTS, len(known)))
+
+    def _heartbeat(
+        self,
+        interval_s: float,
+        *,
+        asks: bool = False,
+        primary: bool = False,
+        contacts: Iterable[Contact] = (),
+    ) -> Heartbeat:
+        own, view = self._own, self._view
+        now = self._loop.time()
+        return Heartbeat(
+            name=own.name,
+            incarnation=own.incarnation,
+            control=own.control,
+            failure_domain=own.contact.failure_domain,
+            link_mbps=own.contact.link_mbps,
+            is_relay=view.is_relay,
+            asks=asks,
+            primary=primary,
+            version=own.version,
+            confirmed_age_s=min(_NEVER_CONFIRMED_S, now - own.confirmed_at),
+            reaches_store=own.reaches_store,
+            interval_s=interval_s,
+            leaves=view.own_leaf_count(),
+            relays=view.relay_count(),
+            fleet_size=view.size(now),
+            contacts=tuple(contacts),
+        )
--- a/src/sycamorebay/transport/gateway/peers.py
+++ b/src/sycamorebay/transport/gateway/peers.py
@@ -1,51 +1,60 @@
-"""Membership and store changes among the daemons, over datagrams.
+"""Heartbeats and changes of the store among the daemons, over datagrams.
 
-Each daemon sends a heartbeat with its whole state to every peer at intervals, so the loss of a
-datagram is made up for within one interval. The loads of backend servers are sent along with it,
-see `load_exchange`.
+Relays exchange heartbeats with each other and with their leaves, see `fleet_view`. A heartbeat
+carries the whole state of its sender, so the loss of a datagram is made up for within one
+interval. In a fleet without leaves, the loads of backend servers are sent as well, see
+`load_exchange`.
 """
 
 from __future__ import annotations
 
 import asyncio
-import json
 import random
-import zlib
 from collections.abc import Iterable
-from typing import Any, cast
+from typing import cast
 
 from sycamorebay import log
+from sycamorebay.coordination.fleet_view import RELAY_LIMIT, Address, Contact, FleetView
 from sycamorebay.coordination.placing import Placer
 from sycamorebay.protocol.load_rows import CHANGED_LOADS, COMPLETE_LOADS
-from sycamorebay.protocol.store_items import items_to_rows, rows_to_items
+from sycamorebay.protocol.peer_messages import (
+    Changes,
+    Heartbeat,
+    Leave,
+    OtherVersionError,
+    decode_message,
+    encode_message,
+)
 from sycamorebay.state.stored import StoredItem
 from sycamorebay.transport.gateway.counters import Counters
 from sycamorebay.transport.gateway.load_exchange import LoadExchange
 from sycamorebay.transport.gateway.peer import OwnState, Peer, PeerCallbacks
-from sycamorebay.transport.gateway.sockets import join_address, split_address
+from sycamorebay.transport.gateway.peer_sender import PeerSender
+from sycamorebay.transport.gateway.peer_table import PeerTable
 
 HEARTBEAT_INTERVAL_S = 0.25
-# In a larger fleet the interval grows, so that a daemon sends about this many heartbeats per
-# second.
+# With more relays the interval grows, so that a daemon sends about this many heartbeats per second.
 HEARTBEATS_PER_S = 100.0
+# A leaf has nothing to tell but that it lives.
+LEAF_HEARTBEAT_INTERVAL_S = 1.0
+_INTERVAL_JITTER = 0.1
 # Three lost heartbeats in a row indicate a failure; the slack covers late timers.
 TIMEOUT_HEARTBEATS = 3.0
 TIMEOUT_SLACK_S = 0.4
-# Up to this many peers, each change of load is sent immediately; for more peers that would take
-# too many datagrams.
-MAX_IMMEDIATE_PEERS = 40
-MAX_DATAGRAM_BYTES = 48_000
-_COMPRESS_ABOVE_BYTES = 900
-# Addresses of other peers in each heartbeat.
-_GOSSIP_ADDRESSES = 2
-# Addresses in the heartbeat to a new peer, so that it knows the whole fleet after two messages.
-_GOSSIP_ADDRESSES_TO_NEW_PEER = 64
+# A daemon that was asked and does not answer within this time is not there.
+ANSWER_TIMEOUT_S = 0.8
+# Seeds that are no peers are asked now and then, so that parts of a fleet find each other again.
+SEED_INTERVAL_S = 2.0
+# New confirmations are passed on at once, but not more often than this.
+MIN_PUSH_INTERVAL_S = 0.15
+# Longer changes are fetched by their receivers, since bursts of large datagrams overflow a link.
+MAX_INLINE_BYTES = 8_000
 
 _log = log.get_logger("peers")
 
 
 class Peers(asyncio.DatagramProtocol):
-    """The other daemons of the fleet, reached over datagrams.
+    """The daemons that this daemon exchanges heartbeats with.
 
     Parameters
     ----------
@@ -53,6 +62,8 @@
         State of this daemon that heartbeats carry.
     seeds : iterable of (str, int)
         Addresses of daemons that may be running.
+    view : FleetView
+        Knows the relays, and the role of this daemon.
     placer : Placer
         Provides the loads of this daemon, and receives those of peers.
     callbacks : PeerCallbacks
@@ -73,7 +84,8 @@
     def __init__(
         self,
         own: OwnState,
-        seeds: Iterable[tuple[str, int]],
+        seeds: Iterable[Address],
+        view: FleetView,
         placer: Placer,
         callbacks: PeerCallbacks,
         counters: Counters,
@@ -84,30 +96,55 @@
             own.incarnation,
             placer,
             self._send_to_peers,
-            self._sends_immediately,
+            lambda: not self._had_leaves,
             callbacks.on_capacity,
         )
         self._seeds = set(seeds)
+        self._view = view
         self._placer = placer
         self._callbacks = callbacks
         self._counters = counters
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.DatagramTransport | None = None
-        self._by_name: dict[str, Peer] = {}
-        self._peers_by_address: dict[tuple[str, int], Peer] = {}
+        self._table = PeerTable()
+        self._asked_at_by_name: dict[str, float] = {}
+        self._seeds_asked_at = float("-inf")
+        self._pushed_at = float("-inf")
+        self._had_leaves = False
+        self._was_relay = True
         self._rng = random.Random()
+        self._sender = PeerSender(own, view, counters, self._rng)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport for sending."""
         # uvloop's transports have the methods of asyncio's but do not inherit from them.
         self._transport = cast(asyncio.DatagramTransport, transport)
+        self._sender.transport = self._transport
 
     def error_received(self, exc: Exception) -> None:
         """Ignore network errors; a peer is removed only when its heartbeats cease."""
 
     def alive(self) -> list[Peer]:
         """Return the peers whose heartbeats have arrived in time."""
-        return list(self._by_name.values())
+        return list(self._table)
+
+    def relays(self) -> list[Peer]:
+        """Return the peers that are relays."""
+        return self._table.relays()
+
+    @property
+    def is_relay(self) -> bool:
+        """Whether this daemon is a relay."""
+        return self._view.is_relay
+
+    @property
+    def in_large_fleet(self) -> bool:
+        """Whether the fleet has leaves, so that loads are not exchanged."""
+        return self._had_leaves
+
+    def fleet_size(self) -> int:
+        """Return the number of daemons in the fleet, rather too many than too few."""
+        return self._view.size(self._loop.time())
 
     @property
     def heartbeat_s(self) -> float:
@@ -115,21 +152,26 @@
 
         Readers use the shortest one, since all other daemons depend on them for changes.
         """
-        return (
-            HEARTBEAT_INTERVAL_S
-            if self.reading
-            else max(HEARTBEAT_INTERVAL_S, len(self._by_name) / HEARTBEATS_PER_S)
-        )
+        if not self._view.is_relay:
+            return LEAF_HEARTBEAT_INTERVAL_S if len(self._table) else HEARTBEAT_INTERVAL_S
+        if self.reading:
+            return HEARTBEAT_INTERVAL_S
+        relays = min(RELAY_LIMIT, len(self._table))
+        return max(HEARTBEAT_INTERVAL_S, relays / HEARTBEATS_PER_S)
 
     async def run(self) -> None:
         """Send heartbeats and remove silent peers, until cancelled."""
         while True:
-            self._forget_silent()
-            self._send_heartbeat()
-            await asyncio.sleep(self.heartbeat_s * self._rng.uniform(0.9, 1.1))
+            now = self._loop.time()
+            self._forget_silent(now)
+            self._view.on_tick(now)
+            self._update_role(now)
+            interval_s = self.heartbeat_s * self._rng.uniform(1 - _INTERVAL_JITTER, 1.0)
+            self._send_heartbeats(now, interval_s)
+            await asyncio.sleep(interval_s)
 
     def send_changes(self, after: int, items: Iterable[StoredItem], version: int) -> None:
-        """Send changes of the store to every peer, followed by a heartbeat.
+        """Send changes of the store to every peer.
 
         Parameters
         ----------
@@ -140,160 +182,220 @@
         version : int
             Version after the changes.
         """
-        message = {
-            "t": "changes",
-            "after": after,
-            "version": version,
-            "items": items_to_rows(items),
-        }
-        self._send_all(message)
-        self._send_heartbeat()
+        self._send_changes(after, tuple(items), version, self._table)
+
+    def forward_changes(self, after: int, items: Iterable[StoredItem], version: int) -> None:
+        """Pass on changes of the store that another daemon sent, to the own leaves."""
+        if leaves := self._table.leaves():
+            self._send_changes(after, tuple(items), version, leaves)
+
+    def push(self, to_relays: bool) -> None:
+        """Pass on a new confirmation to the leaves, and to the relays if it is first-hand."""
+        now = self._loop.time()
+        if not self._had_leaves or now - self._pushed_at < MIN_PUSH_INTERVAL_S:
+            return
+        receivers = self.alive() if to_relays else self._table.leaves()
+        if receivers:
+            self._pushed_at = now
+            self._sender.send_heartbeat(receivers, self.heartbeat_s)
+
+    def announce(self) -> None:
+        """Tell every peer of a new version of the store, which they then fetch."""
+        self._sender.send_heartbeat(self._table, self.heartbeat_s)
 
     def leave(self) -> None:
         """Notify every peer that this daemon stops."""
-        self._send_all({"t": "leave"})
-
-    def _sends_immediately(self) -> bool:
-        return len(self._by_name) <= MAX_IMMEDIATE_PEERS
-
-    def _send_heartbeat(self) -> None:
-        heartbeat = self._own_heartbeat(_GOSSIP_ADDRESSES)
-        self._send(heartbeat, self._peers_by_address.keys() | self._seeds)
-        self._send_to_peers(self.loads.complete_message())
-
-    def _send_introduction(self, address: tuple[str, int]) -> None:
-        self._send(self._own_heartbeat(_GOSSIP_ADDRESSES_TO_NEW_PEER), [address])
-        self._send_bytes(self.loads.complete_message(), [address])
-
-    def _own_heartbeat(self, address_count: int) -> dict[str, Any]:
-        own = self.own
-        known = list(self._by_name.values())
-        age_s = self._loop.time() - own.confirmed_at
-        return {
-            "t": "beat",
-            "control": own.control,
-            "domain": own.failure_domain,
-            "version": own.version,
-            "age": round(min(1e6, age_s), 3),
-            "store": own.reaches_store,
-            "next": self.heartbeat_s,
-            "peers": [
-                join_address(peer.address)
-                for peer in self._rng.sample(known, min(address_count, len(known)))
-            ],
-        }
-
-    def _send_all(self, message: dict[str, Any]) -> None:
-        self._send(message, self._peers_by_address)
-
-    def _send(self, message: dict[str, Any], addresses: Iterable[tuple[str, int]]) -> None:
-        message["n"] = self.own.name
-        message["i"] = self.own.incarnation
-        data = json.dumps(message, separators=(",", ":")).encode()
-        if len(data) > _COMPRESS_ABOVE_BYTES:
-            data = zlib.compress(data, 1)
-        if len(data) > MAX_DATAGRAM_BYTES:
-            # Peers see the later version in the next heartbeat and fetch a whole copy.
-            _log.warning("message too large for a datagram", bytes=len(data), kind=message["t"])
-            return
-        self._send_bytes(data, addresses)
+        self._sender.send(Leave(self.own.name, self.own.incarnation), self._table.addresses())
 
     def _send_to_peers(self, data: bytes) -> None:
-        self._send_bytes(data, self._peers_by_address)
-
-    def _send_bytes(self, data: bytes, addresses: Iterable[tuple[str, int]]) -> None:
-        if self._transport is not None:
-            for address in addresses:
-                self._transport.sendto(data, address)
+        self._sender.send_bytes(data, self._table.addresses())
 
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Handle a message from a peer; a message that cannot be decoded is logged and dropped."""
+    def _send_changes(
+        self, after: int, items: tuple[StoredItem, ...], version: int, peers: Iterable[Peer]
+    ) -> None:
+        receivers = list(peers)
+        message = Changes(self.own.name, self.own.incarnation, after, version, items)
+        data = encode_message(message)
+        if len(data) <= MAX_INLINE_BYTES:
+            # If it is lost, the next heartbeat tells of the later version.
+            self._sender.send_bytes(data, [peer.contact.address for peer in receivers])
+        else:
+            self._sender.send_heartbeat(receivers, self.heartbeat_s)
+
+    def _send_heartbeats(self, now: float, interval_s: float) -> None:
+        """Send the regular heartbeats: to peers, to wanted relays and to seeds."""
+        self._sender.send_heartbeat(self._table, interval_s)
+        for contact in self._wanted(now):
+            self._ask(now, contact)
+        unsettled = not self._table.relays()
+        if unsettled or now - self._seeds_asked_at > SEED_INTERVAL_S:
+            self._seeds_asked_at = now
+            strangers = self._seeds - set(self._table.addresses())
+            if unsettled or self._view.is_relay:
+                self._sender.ask(strangers, interval_s)
+        if not self._had_leaves:
+            self._send_to_peers(self.loads.complete_message())
+
+    def _wanted(self, now: float) -> list[Contact]:
+        """Return the relays to contact that have not been heard yet."""
+        contacts = self._view.relays() if self._view.is_relay else self._view.home_relays()
+        wanted = [contact for contact in contacts if contact.name not in self._table]
+        names = {contact.name for contact in wanted}
+        asked = self._asked_at_by_name
+        self._asked_at_by_name = {name: at for name, at in asked.items() if name in names}
+        return wanted
+
+    def _ask(self, now: float, contact: Contact) -> None:
+        self._asked_at_by_name.setdefault(contact.name, now)
+        primary = self._sender.is_primary(contact.name)
+        self._sender.ask([contact.address], self.heartbeat_s, primary)
+
+    def datagram_received(self, data: bytes, addr: Address) -> None:
+        """Handle a message from a peer; a message that cannot be decoded is counted and dropped."""
         self._counters.peer_datagrams += 1
         try:
             if data[:1] in (CHANGED_LOADS, COMPLETE_LOADS):
-                peer = self._peers_by_address.get(addr)
-                if peer is not None:
+                peer = self._table.at(addr)
+                if peer is not None and not self._had_leaves:
                     self.loads.on_message(data, peer)
                 return
-            if data[:1] != b"{":
-                data = zlib.decompress(data)
-            message = json.loads(data)
-            name, incarnation = str(message["n"]), int(message["i"])
-            if name == self.own.name:
-                self._seeds.discard(addr)
-                return
-            self._on_message(message, name, incarnation, addr)
-        except (ValueError, KeyError, TypeError, IndexError, zlib.error) as error:
-            _log.warning("could not decode a message from a peer", peer=addr[0], error=repr(error))
+            message = decode_message(data)
+        except OtherVersionError as error:
+            self._counters.other_version_datagrams += 1
+            _log.info("message of another version dropped", peer=addr[0], reason=str(error))
+            return
+        except ValueError as error:
+            self._counters.undecodable_datagrams += 1
+            _log.info("could not decode a message from a peer", peer=addr[0], error=repr(error))
+            return
+        if message.name == self.own.name:
+            self._seeds.discard(addr)
+        elif isinstance(message, Heartbeat):
+            self._on_heartbeat(message, addr)
+        else:
+            self._on_message(message)
 
-    def _on_message(
-        self, message: dict[str, Any], name: str, incarnation: int, addr: tuple[str, int]
-    ) -> None:
-        kind = message["t"]
-        peer = self._by_name.get(name)
-        if kind == "beat":
-            self._on_heartbeat(message, name, incarnation, addr)
-        elif peer is None or peer.incarnation != incarnation:
+    def _on_message(self, message: Changes | Leave) -> None:
+        peer = self._table.get(message.name)
+        if peer is None or peer.incarnation != message.incarnation:
             return
-        elif kind == "changes":
-            items = rows_to_items(message["items"])
-            self._callbacks.on_changes(int(message["after"]), items, int(message["version"]), peer)
-        elif kind == "leave":
+        if isinstance(message, Leave):
             self._remove_peer(peer, "it stops")
+        else:
+            events = self._callbacks.events
+            events.on_peer_changes(message.after, message.items, message.version, peer)
 
-    def _on_heartbeat(
-        self, message: dict[str, Any], name: str, incarnation: int, addr: tuple[str, int]
-    ) -> None:
+    def _on_heartbeat(self, heartbeat: Heartbeat, addr: Address) -> None:
         now = self._loop.time()
-        peer = self._by_name.get(name)
-        if peer is not None and peer.incarnation > incarnation:
+        peer = self._table.get(heartbeat.name)
+        if peer is not None and peer.incarnation > heartbeat.incarnation:
             return
-        if peer is None or peer.incarnation != incarnation:
+        if peer is not None and peer.incarnation != heartbeat.incarnation:
+            self._remove_peer(peer, "it started again")
+            peer = None
+        contact = Contact(heartbeat.name, addr, heartbeat.failure_domain, heartbeat.link_mbps)
+        belongs = self._admit(now, contact, heartbeat)
+        self._update_role(now)
+        for listed in heartbeat.contacts:
+            if self._view.on_listed(now, listed) and self._view.is_relay:
+                self._ask(now, listed)
+        if not belongs:
             if peer is not None:
-                self._remove_peer(peer, "it started again")
-            domain, control = str(message["domain"]), str(message["control"])
-            peer = Peer(name, addr, control, domain, incarnation, now)
-            self._by_name[name] = peer
-            self._peers_by_address[addr] = peer
-            _log.info("peer found", peer=name, address=addr[0])
-            self._send_introduction(addr)
-        self._update_address(peer, addr)
+                self._remove_peer(peer, "it is no peer of this daemon")
+            if heartbeat.asks or (heartbeat.is_relay and self._view.is_relay):
+                self._introduce(contact, heartbeat.is_relay)
+            return
+        known = peer is not None
+        peer = self._update_peer(now, peer, contact, heartbeat)
+        if heartbeat.asks or not known:
+            self._introduce(contact, heartbeat.is_relay)
+        self._report(peer)
+
+    def _admit(self, now: float, contact: Contact, heartbeat: Heartbeat) -> bool:
+        """Update the view with a heartbeat, and return whether its sender is a peer."""
+        view = self._view
+        if heartbeat.is_relay:
+            known = view.on_relay(now, contact, heartbeat.leaves)
+            if view.is_relay:
+                return known
+            if contact.name not in [home.name for home in view.home_relays()]:
+                return False
+            view.on_told(now, contact.name, heartbeat.relays, heartbeat.fleet_size)
+            return True
+        if not view.is_relay:
+            # The sender is a leaf too, so it cannot be a relay of this one.
+            view.on_lost(now, contact.name)
+            return False
+        view.on_leaf(contact.name, heartbeat.primary)
+        return True
+
+    def _introduce(self, contact: Contact, is_relay: bool) -> None:
+        self._sender.introduce(contact, is_relay, self.heartbeat_s)
+        if not self._had_leaves:
+            self._sender.send_bytes(self.loads.complete_message(), [contact.address])
+
+    def _update_peer(
+        self, now: float, peer: Peer | None, contact: Contact, heartbeat: Heartbeat
+    ) -> Peer:
+        if peer is None:
+            peer = Peer(contact, heartbeat.control, heartbeat.incarnation, heartbeat.is_relay, now)
+            self._asked_at_by_name.pop(contact.name, None)
+            _log.info("peer found", peer=contact.name, address=contact.address[0])
+        self._table.put(peer, contact)
+        peer.is_relay = heartbeat.is_relay
         peer.last_seen_at = now
-        peer.version = int(message["version"])
-        peer.confirmed_at = now - float(message["age"])
-        peer.reaches_store = bool(message["store"])
-        peer.timeout_s = float(message["next"]) * TIMEOUT_HEARTBEATS + TIMEOUT_SLACK_S
-        for text in message["peers"]:
-            self._introduce_if_unknown(split_address(str(text)))
+        peer.version = heartbeat.version
+        peer.confirmed_at = now - heartbeat.confirmed_age_s
+        peer.reaches_store = heartbeat.reaches_store
+        peer.timeout_s = heartbeat.interval_s * TIMEOUT_HEARTBEATS + TIMEOUT_SLACK_S
+        return peer
+
+    def _report(self, peer: Peer) -> None:
+        """Report what a peer's heartbeat tells about the store."""
         if peer.version > self.own.version:
-            self._callbacks.on_newer_peer(peer)
+            self._callbacks.events.on_newer_peer(peer)
         else:
-            self._callbacks.on_confirmed(peer.confirmed_at)
-
-    def _update_address(self, peer: Peer, address: tuple[str, int]) -> None:
-        if peer.address != address:
-            self._drop_address(peer)
-            self._peers_by_address[address] = peer
-            peer.address = address
-
-    def _drop_address(self, peer: Peer) -> None:
-        # Another daemon may have taken over the address.
-        if self._peers_by_address.get(peer.address) is peer:
-            del self._peers_by_address[peer.address]
-
-    def _introduce_if_unknown(self, address: tuple[str, int]) -> None:
-        known = address in self._peers_by_address or address in self._seeds
-        if not known and join_address(address) != self.own.address:
-            self._send_introduction(address)
-
-    def _forget_silent(self) -> None:
-        now = self._loop.time()
-        for peer in list(self._by_name.values()):
+            self._callbacks.events.on_confirmed(peer.confirmed_at)
+
+    def _update_role(self, now: float) -> None:
+        """Apply a changed role of this daemon, and a changed size of the fleet."""
+        view = self._view
+        if view.is_relay != self._was_relay:
+            self._was_relay = view.is_relay
+            _log.info("role changed", relay=view.is_relay, fleet=view.size(now))
+            if not view.is_relay:
+                self._keep_home_relays()
+            for contact in self._wanted(now):
+                self._ask(now, contact)
+        has_leaves = view.has_leaves(now)
+        if has_leaves and not self._had_leaves:
+            for peer in self._table:
+                self._placer.on_peer_lost(peer.name)
+        self._had_leaves = has_leaves
+
+    def _keep_home_relays(self) -> None:
+        """Take leave of the peers that are not needed as a leaf."""
+        home = {contact.name for contact in self._view.home_relays()}
+        others = [peer for peer in self._table if peer.name not in home]
+        notice = Leave(self.own.name, self.own.incarnation)
+        self._sender.send(notice, [peer.contact.address for peer in others])
+        for peer in others:
+            self._drop_peer(peer)
+
+    def _forget_silent(self, now: float) -> None:
+        for peer in self.alive():
             if now - peer.last_seen_at > peer.timeout_s:
                 self._remove_peer(peer, "it is silent")
+        for name, asked_at in list(self._asked_at_by_name.items()):
+            if now - asked_at > ANSWER_TIMEOUT_S:
+                del self._asked_at_by_name[name]
+                self._view.on_lost(now, name)
 
     def _remove_peer(self, peer: Peer, reason: str) -> None:
-        self._by_name.pop(peer.name, None)
-        self._drop_address(peer)
-        self._placer.on_peer_lost(peer.name)
+        self._drop_peer(peer)
+        self._view.on_lost(self._loop.time(), peer.name)
         _log.info("peer lost", peer=peer.name, reason=reason)
+
+    def _drop_peer(self, peer: Peer) -> None:
+        self._table.drop(peer)
+        self._placer.on_peer_lost(peer.name)
--- a/src/sycamorebay/transport/gateway/settings.py
+++ b/src/sycamorebay/transport/gateway/settings.py
@@ -31,6 +31,12 @@
         Limits of the retry budget of each service, for the whole fleet.
     stop_s : float
         Time between SIGTERM and SIGKILL, in seconds.
+    domain_count : int
+        Number of failure domains that daemons may run in.
+    link_mbps : float
+        Bandwidth of the network link of this VM in Mbit/s; 0 if unknown.
+    first_start : bool
+        Whether the whole fleet starts for the first time.
     """
 
     name: str
@@ -42,3 +48,6 @@
     seeds: tuple[str, ...]
     retries: RetryLimits
     stop_s: float
+    domain_count: int = 1
+    link_mbps: float = 0.0
+    first_start: bool = False
