End answers whose head, framing or body has no end

Cause: the parser reports complete headers and chunks only, so the limit on a head saw none of an endless status line, header, chunk extension or chunk size, and interim answers were never counted: up to 364 MB were read until the route's timeout, then 504. A body without length was held up to 64 MiB a connection, on VMs of 200 MB.

Change: bytes outside the body are counted as they arrive, against 64 KiB and eight times the body. An answer may have 16 MiB, all answers of a gateway 48 MiB. The connection is closed, the server counts as failing, the caller is answered at once. Nine kinds, one by one and all at once beside a sound server, fail without the change (504 instead of 502) and pass with it.

--- a/src/sycamorebay/transport/gateway/client.py
+++ b/src/sycamorebay/transport/gateway/client.py
@@ -21,8 +21,13 @@
 # closes the connection.
 KEEP_ALIVE_MARGIN_S = 1.0
 MAX_IDLE_PER_ADDRESS = 16
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Of all answers that are being received; a VM may have 200 MB.
+MAX_BUFFERED_BYTES = 48 * 1024 * 1024
+# Of status lines, headers, interim answers and the framing of chunks, complete or not.
 MAX_HEAD_BYTES = 64 * 1024
+# Bytes of chunk framing allowed for each byte of a body; a chunk of one byte needs five.
+MAX_FRAMING_RATIO = 8
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*([0-9]{1,6})")
 
 
@@ -53,9 +58,39 @@
     """The request was sent, but no usable answer arrived."""
 
 
+class BufferBudget:
+    """Bytes of answers held by all connections of a pool.
+
+    Parameters
+    ----------
+    limit : int
+        Maximum number of bytes.
+    """
+
+    def __init__(self, limit: int = MAX_BUFFERED_BYTES) -> None:
+        self._limit = limit
+        self.used = 0
+
+    def take(self, size: int) -> bool:
+        """Reserve bytes; return False if they would exceed the limit."""
+        if self.used + size > self._limit:
+            return False
+        self.used += size
+        return True
+
+    def give_back(self, size: int) -> None:
+        """Release reserved bytes."""
+        self.used -= size
+
+
 class Connection(asyncio.Protocol):
     """A client connection that carries one request at a time.
 
+    Parameters
+    ----------
+    budget : BufferBudget
+        Limits the bytes of answers held by all connections.
+
     Attributes
     ----------
     reusable : bool
@@ -66,7 +101,11 @@
         When it became idle, in seconds on the clock of its pool.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, budget: BufferBudget) -> None:
+        self._budget = budget
+        self._held_bytes = 0
+        self._received_bytes = 0
+        self._body_bytes = 0
         self._transport: asyncio.Transport | None = None
         self._answer: asyncio.Future[ClientAnswer] | None = None
         self._accepts: Callable[[int, RawHeaders], bool] | None = None
@@ -109,6 +148,7 @@
         if not self.open:
             raise ConnectError("the connection was closed")
         assert self._transport is not None
+        self._received_bytes = self._body_bytes = 0
         self._accepts = accepts
         self._bodiless_method = bodiless
         self._parser = httptools.HttpResponseParser(self)
@@ -121,6 +161,7 @@
             raise
         finally:
             self._answer = None
+            self._release()
 
     @property
     def open(self) -> bool:
@@ -144,10 +185,16 @@
         if self._answer is None or self._answer.done() or self._parser is None:
             self.abort()
             return
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._fail(f"the answer is malformed ({type(error).__name__})")
+            return
+        # The parser reports only complete heads and chunks, so an endless one shows here.
+        framing_bytes = self._received_bytes - self._body_bytes
+        if framing_bytes > MAX_HEAD_BYTES + MAX_FRAMING_RATIO * self._body_bytes:
+            self._fail("the answer has too many bytes outside its body")
 
     def eof_received(self) -> bool:
         """Record that the server closed its side in an orderly way."""
@@ -166,7 +213,6 @@
         self._status = 0
         self._headers: RawHeaders = []
         self._body: list[bytes] = []
-        self._size = 0
         self._in_body = False
         self._framed = False
         self._discarded = False
@@ -176,16 +222,12 @@
         self._reset_message()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header; fail the answer if its head exceeds `MAX_HEAD_BYTES`."""
-        self._size += len(name) + len(value)
-        if self._size > MAX_HEAD_BYTES:
-            self._fail("the answer's head is too large")
+        """Add a header."""
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Determine how the body is delimited, and whether the answer belongs to the request."""
         assert self._parser is not None
-        self._size = 0
         self._status = self._parser.get_status_code()
         names = [name for name, _ in self._headers]
         lengths = names.count(b"content-length")
@@ -207,12 +249,17 @@
             self._complete()
 
     def on_body(self, body: bytes) -> None:
-        """Add a chunk of the body; fail the answer if it exceeds `MAX_ANSWER_BYTES`."""
-        self._size += len(body)
-        if self._size > MAX_ANSWER_BYTES:
+        """Add a chunk of the body; fail the answer if it is too large for the memory."""
+        self._body_bytes += len(body)
+        if self._body_bytes > MAX_ANSWER_BYTES:
             self._fail("the answer is too large")
-        elif not self._discarded:
+        elif self._discarded:
+            return
+        elif self._budget.take(len(body)):
+            self._held_bytes += len(body)
             self._body.append(body)
+        else:
+            self._fail("the answers in progress take too much memory")
 
     def on_message_complete(self) -> None:
         """Complete the answer, unless the end of the connection delimits its body."""
@@ -238,6 +285,11 @@
             if name == b"keep-alive" and (found := _KEEP_ALIVE_TIMEOUT.search(value)):
                 self.idle_s = max(0.0, int(found[1]) - KEEP_ALIVE_MARGIN_S)
 
+    def _release(self) -> None:
+        self._body = []
+        self._budget.give_back(self._held_bytes)
+        self._held_bytes = 0
+
     def _fail(self, reason: str) -> None:
         self.reusable = False
         if self._answer is not None and not self._answer.done():
@@ -257,6 +309,7 @@
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
+        self._budget = BufferBudget()
         self._idle_by_address: dict[str, list[Connection]] = {}
 
     def has_idle(self, address: str) -> bool:
@@ -331,7 +384,9 @@
         try:
             host, port = split_address(address)
             async with asyncio.timeout(timeout_s):
-                _, connection = await loop.create_connection(Connection, host, port)
+                _, connection = await loop.create_connection(
+                    lambda: Connection(self._budget), host, port
+                )
         except TimeoutError as error:
             raise ConnectError("connecting took too long") from error
         except (OSError, ValueError) as error:
--- a/standins/scripts.py
+++ b/standins/scripts.py
@@ -29,6 +29,30 @@
     connection.write_raw(b"HTTP/1.1 OK 200\r\ncontent-length: -3\r\n\r\nxyz")
 
 
+def endless(start: bytes, piece: bytes, sent: list[int]) -> Script:
+    """Return a script that sends bytes until the caller closes.
+
+    Parameters
+    ----------
+    start : bytes
+        Sent once; ``{id}`` in it is replaced by the id of the request.
+    piece : bytes
+        Sent again and again.
+    sent : list of int
+        Gets the number of bytes of each piece that was accepted for sending.
+    """
+
+    async def send(request: ReceivedRequest, connection: ServerConnection) -> None:
+        connection.write_raw(start.replace(b"{id}", request.request_id.encode()))
+        while not connection.writer.is_closing():
+            connection.write_raw(piece)
+            sent.append(len(piece))
+            await connection.writer.drain()
+            await asyncio.sleep(0)
+
+    return send
+
+
 def after(seconds: float) -> Script:
     """Return a script that answers each request after a delay in seconds."""
 
