Never take a second copy of an answer for the answer to the next request

A copy without a request id with a status of 300 or more was delivered, and a copied "not run" made a refusal that promised what nobody knew.

Change: an answer to a request with an id has to name it, whatever its status; the connection is closed otherwise and the outcome is unknown. What follows an answer in the same segment no longer changes how that answer is judged. A probe ignores answers that name a request.

--- a/src/sycamorebay/transport/gateway/client.py
+++ b/src/sycamorebay/transport/gateway/client.py
@@ -228,6 +228,11 @@
     def on_headers_complete(self) -> None:
         """Determine how the body is delimited, and whether the answer belongs to the request."""
         assert self._parser is not None
+        if self._answer is None or self._answer.done():
+            # Another answer in the same segment must not change how the first one is judged.
+            self.reusable = False
+            self._discarded = True
+            return
         self._status = self._parser.get_status_code()
         names = [name for name, _ in self._headers]
         lengths = names.count(b"content-length")
@@ -329,9 +334,26 @@
             return idle.pop()
         return await self._connect(address, timeout_s)
 
-    async def get(self, address: str, path: str, timeout_s: float) -> ClientAnswer:
+    async def get(
+        self,
+        address: str,
+        path: str,
+        timeout_s: float,
+        accepts: Callable[[int, RawHeaders], bool] = lambda _status, _headers: True,
+    ) -> ClientAnswer:
         """Send a GET request for a path and return its whole answer.
 
+        Parameters
+        ----------
+        address : str
+            ``IP:port`` of the server.
+        path : str
+            Path of the request.
+        timeout_s : float
+            Longest time for connecting and the answer, in seconds.
+        accepts : callable
+            As in `Connection.send_request`.
+
         Raises
         ------
         TimeoutError
@@ -344,7 +366,7 @@
         async with asyncio.timeout(timeout_s):
             connection = await self.acquire(address)
             head = request_head("GET", path, [(b"host", address.encode())])
-            answer = await connection.send_request(head, b"", lambda _status, _headers: True)
+            answer = await connection.send_request(head, b"", accepts)
         self.release(address, connection)
         return answer
 
--- a/src/sycamorebay/transport/gateway/probing.py
+++ b/src/sycamorebay/transport/gateway/probing.py
@@ -17,6 +17,7 @@
 from sycamorebay.coordination.server_load import ServerLoad
 from sycamorebay.coordination.subset import ServerSubset
 from sycamorebay.protocol.header_codec import HeaderCodec
+from sycamorebay.protocol.header_names import RawHeaders
 from sycamorebay.state.routing import RoutingTable
 from sycamorebay.transport.gateway.client import AnswerError, ConnectError, ConnectionPool
 from sycamorebay.transport.gateway.counters import Counters
@@ -97,7 +98,9 @@
             return
         self._counters.probes += 1
         try:
-            answer = await self._pool.get(entry.address, service.health_path, PROBE_TIMEOUT_S)
+            answer = await self._pool.get(
+                entry.address, service.health_path, PROBE_TIMEOUT_S, self._is_of_probe
+            )
             metadata = self._header_codec.read_answer(answer.status, answer.headers)
             if metadata.report is not None and metadata.server_id in ("", entry.id):
                 now = asyncio.get_running_loop().time()
@@ -108,6 +111,10 @@
             self._on_probed(entry.id, True)
             _log.info("probe failed", server=entry.id, reason=str(error) or type(error).__name__)
 
+    def _is_of_probe(self, status: int, headers: RawHeaders) -> bool:
+        """Return False for a late answer to an earlier request; probes have no request id."""
+        return not self._header_codec.read_answer(status, headers).request_id
+
 
 class ProbeTask:
     """Background task that probes the backend servers assigned to this daemon.
--- a/src/sycamorebay/transport/gateway/sending.py
+++ b/src/sycamorebay/transport/gateway/sending.py
@@ -235,6 +235,11 @@
             raise
         metadata = matcher.metadata
         assert metadata is not None
+        if exchange.request_id and not metadata.request_id:
+            # It may be a late copy of an earlier answer; the one to this request may still come.
+            connection.abort()
+            self._on_failure(server)
+            return SendOutcome(Result.MAY_HAVE_RUN, reason="the answer doesn't name its request")
         self._record_report(server, metadata)
         self._pool.release(server.address, connection)
         outcome = self._classify(exchange, server, answer, metadata)
