Start a restarted gateway from current data only

The cheap first listing of the commit on relays may be seconds old: a server that had left, or a route that was withdrawn, would be in use again until a peer confirms the copy.

Ruled out: holding the old listing back until it is confirmed, which costs the same call.

--- a/bench/emulator/fleet.py
+++ b/bench/emulator/fleet.py
@@ -48,7 +48,7 @@
     items_by_key: dict[str, StoredItem] = attrs.field(factory=dict)
     history: list[StoredItem] = attrs.field(factory=list)
     version: int = 1
-    calls: float = 0.0
+    calls: int = 0
     down: bool = False
     written_at_by_version: dict[int, float] = attrs.field(factory=dict)
     _written: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -64,22 +64,22 @@
         self._written = asyncio.Event()
         return self.version
 
-    async def list_all(self, *, stale: bool = False) -> Listing:
-        """Return all items; a call that may be answered with old ones costs a tenth."""
-        await self._call(0.1 if stale else 1.0)
+    async def list_all(self) -> Listing:
+        """Return all items."""
+        await self._call()
         return Listing(tuple(self.items_by_key.values()), self.version)
 
     async def changes(self, after: int, wait_s: float) -> tuple[list[StoredItem], int]:
         """Wait for changes after a version."""
-        await self._call(1.0)
+        await self._call()
         if after >= self.version:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_s):
                     await self._written.wait()
         return [item for item in self.history if item.version > after], self.version
 
-    async def _call(self, cost: float) -> None:
-        self.calls += cost
+    async def _call(self) -> None:
+        self.calls += 1
         await asyncio.sleep(STORE_ANSWER_S)
         if self.down:
             raise PlatformError("the store is down", step="watch", peer="store")
@@ -274,9 +274,9 @@
     fleet: EmulatedFleet
     gateway: EmulatedGateway
 
-    async def list_all(self, *, stale: bool = False) -> Listing:
+    async def list_all(self) -> Listing:
         await self._check()
-        return await self.fleet.store.list_all(stale=stale)
+        return await self.fleet.store.list_all()
 
     async def changes(self, after: int, wait_s: float) -> tuple[list[StoredItem], int]:
         await self._check()
--- a/src/sycamorebay/platform/store.py
+++ b/src/sycamorebay/platform/store.py
@@ -40,15 +40,9 @@
         self._pool = pool
         self._counters = counters
 
-    async def list_all(self, *, stale: bool = False) -> Listing:
+    async def list_all(self) -> Listing:
         """Return all items and the version of the first page; later pages may be newer.
 
-        Parameters
-        ----------
-        stale : bool
-            Whether a cheap answer that may be seconds old will do. Its version is a lower bound,
-            as its pages may be of different ages.
-
         Raises
         ------
         PlatformError
@@ -57,17 +51,12 @@
         items: list[StoredItem] = []
         version = -1
         after = ""
-        option = "&serializable=1" if stale else ""
         for _ in range(_MAX_PAGES):
-            path = f"/kv-range?prefix=&after={quote(after, safe='')}{option}"
+            path = f"/kv-range?prefix=&after={quote(after, safe='')}"
             response = await self._call("list", path, CALL_TIMEOUT_S)
             rows = self._read(response, "items", list)
-            page = self._stored_items(rows)
-            items += page
-            page_version = self._read(response, "as_of", int)
-            if stale:
-                page_version = max((item.version for item in page), default=0)
-            version = page_version if version < 0 else min(version, page_version)
+            items += self._stored_items(rows)
+            version = self._read(response, "as_of", int) if version < 0 else version
             if not response.get("has_more") or not rows:
                 return Listing(tuple(items), version)
             after = _last_key(rows)
--- a/src/sycamorebay/transport/gateway/store_sync.py
+++ b/src/sycamorebay/transport/gateway/store_sync.py
@@ -60,14 +60,9 @@
 class ChangeFeed(Protocol):
     """The interface of the store that a reader uses."""
 
-    async def list_all(self, *, stale: bool = False) -> Listing:
+    async def list_all(self) -> Listing:
         """Return all items and the version of the listing.
 
-        Parameters
-        ----------
-        stale : bool
-            Whether an answer that may be seconds old will do; the version is a lower bound then.
-
         Raises
         ------
         PlatformError
@@ -145,13 +140,11 @@
         self._counters = counters
         self._on_changed = on_changed
         self._rng = random.Random()
-        self._first_start = first_start
         self._loop = asyncio.get_running_loop()
         self._selection = ReaderSelection(self._rng, self._loop.time(), first_start)
         self._failed_at = float("-inf")
         self._listed_at = float("-inf")
         self._changed_at = float("-inf")
-        self._first_copy_at = float("-inf")
         self._fetching = False
         self._needs_listing = True
         self._keep_missing_until = float("-inf")
@@ -213,9 +206,8 @@
     def _detect_outage_end(self) -> None:
         """Keep missing server entries for `ENTRY_RETURN_GRACE_S` after an outage of the store."""
         now = self._loop.time()
-        known_at = max(self.confirmed_at, self._first_copy_at)
-        away_s = now - known_at
-        if away_s > OUTAGE_THRESHOLD_S and self._failed_at > known_at > 0:
+        away_s = now - self.confirmed_at
+        if away_s > OUTAGE_THRESHOLD_S and self._failed_at > self.confirmed_at > 0:
             self._keep_missing_until = now + ENTRY_RETURN_GRACE_S
             _log.info("store reachable after an outage", away_s=round(away_s, 2))
 
@@ -261,8 +253,6 @@
 
     async def run(self) -> None:
         """Read from the store while this daemon has to, until cancelled."""
-        if not self._first_start:
-            await self._list_stale()
         backoff = Backoff(self._rng)
         while True:
             selected = self._is_selected()
@@ -284,19 +274,6 @@
                 retry_s = min(READER_RETRY_S, wait_s) if selected else STALE_RETRY_FACTOR * wait_s
                 await asyncio.sleep(retry_s)
 
-    async def _list_stale(self) -> None:
-        """Start with a copy that may be seconds old, since callers wait.
-
-        Peers or the own watch bring the changes after it; only they confirm the copy.
-        """
-        try:
-            listing = await self._feed.list_all(stale=True)
-        except PlatformError as error:
-            _log.warning("store unreachable", step=error.step, reason=str(error))
-            return
-        self._first_copy_at = self._loop.time()
-        self._apply(self.cache.on_changes(0, listing.items, listing.version) or [], "stale listing")
-
     def _is_selected(self) -> bool:
         now = self._loop.time()
         # After the cooldown, only another call shows whether the store is reachable again.
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -49,22 +49,3 @@
                 with self.assertRaises(PlatformError):
                     await call
             self.assertEqual(2, counters.store_failures)
-
-
-class StaleListingTest(testtools.TestCase):
-    @asynchronous
-    async def test_its_version_is_no_later_than_the_oldest_of_its_pages(self):
-        pages = [
-            {"items": [{**GOOD, "rev": 90}], "as_of": 200, "has_more": True},
-            {"items": [{**GOOD, "key": "servers/b", "rev": 50}], "as_of": 200, "has_more": False},
-        ]
-        paths: list[str] = []
-
-        class PagedPool:
-            async def get(self, _address: str, path: str, _timeout_s: float) -> ClientAnswer:
-                paths.append(path)
-                return ClientAnswer(200, [], json.dumps(pages[len(paths) - 1]).encode())
-
-        listing = await PlatformStore("10.0.0.1:1", PagedPool(), Counters()).list_all(stale=True)
-        self.assertEqual((50, 2), (listing.version, len(listing.items)))
-        self.assertTrue(all("serializable=1" in path for path in paths))
