Fetch missing changes as soon as a later message shows them

Cause: a message with changes after a gap started a fetch only if the sender's last heartbeat had already told of a later version; otherwise the fetch was skipped until its next heartbeat, 0.25 to 0.4 s later. The message itself shows the version. The new test fails without the change (no fetch).

Beside it: tests that a heartbeat ahead of its changes causes no fetch, that an older copy of a peer brings nothing back, and that a restarted gateway reads within 0.2 s, but not at once.

--- a/src/sycamorebay/transport/gateway/store_sync.py
+++ b/src/sycamorebay/transport/gateway/store_sync.py
@@ -173,6 +173,7 @@
             The daemon that sent them.
         """
         known_version = self.cache.version
+        peer.version = max(peer.version, version)
         changed = self.cache.on_changes(after, items, version)
         if changed is None:
             self.on_newer_peer(peer)
--- a/tests/test_store_cache.py
+++ b/tests/test_store_cache.py
@@ -146,6 +146,13 @@
         self.assertTrue(selection.is_selected(5.4, own, self.FLEET))
         self.assertFalse(selection.is_stale(6.0, float("-inf"), is_relay=True))
 
+    def test_a_restarted_daemon_without_peers_reads_soon_but_not_at_once(self):
+        own = self.FLEET[0]
+        for seed in range(20):
+            selection = ReaderSelection(Random(seed), 5.0, first_start=False)
+            self.assertFalse(selection.is_selected(5.01, own, []))
+            self.assertTrue(selection.is_selected(5.2, own, []))
+
 
 class ServerEntriesTest(testtools.TestCase):
     def entry(self, **changes: object) -> ServerEntry:
--- /dev/null
+++ b/tests/test_store_sync.py
@@ -0,0 +1,80 @@
+"""Tests of keeping the copy of the store current from peers, without a network."""
+
+from __future__ import annotations
+
+import asyncio
+
+import testtools
+
+from sycamorebay.coordination.fleet_view import Contact
+from sycamorebay.coordination.readers import Candidate
+from sycamorebay.protocol.store_items import CacheCopy, encode_copy
+from sycamorebay.state.stored import StoredItem
+from sycamorebay.transport.gateway.client import ClientAnswer
+from sycamorebay.transport.gateway.counters import Counters
+from sycamorebay.transport.gateway.peer import Peer
+from sycamorebay.transport.gateway.store_sync import CHANGES_WAIT_S, StoreSync
+from tests.support import asynchronous
+
+OWN = Contact("own", ("10.0.0.1", 7000), "a")
+PEER = Contact("peer", ("10.0.0.2", 7000), "a")
+
+
+class CopyPool:
+    """Serves one copy of the store to every request."""
+
+    def __init__(self, copy: CacheCopy) -> None:
+        self.copy = copy
+        self.paths: list[str] = []
+
+    async def get(self, _address: str, path: str, _timeout_s: float) -> ClientAnswer:
+        self.paths.append(path)
+        return ClientAnswer(200, [], encode_copy(self.copy))
+
+
+def create(copy: CacheCopy) -> tuple[StoreSync, CopyPool, list[StoredItem]]:
+    pool, changed = CopyPool(copy), []
+    sync = StoreSync(
+        Candidate(OWN, True),
+        None,  # type: ignore[arg-type]
+        pool,  # type: ignore[arg-type]
+        Counters(),
+        lambda items, _keep_until: changed.extend(items),
+    )
+    return sync, pool, changed
+
+
+def peer(version: int) -> Peer:
+    return Peer(PEER, "10.0.0.2:80", 1, True, 0.0, version=version)
+
+
+class MissingChangesTest(testtools.TestCase):
+    @asynchronous
+    async def test_changes_after_a_gap_are_fetched_without_waiting_for_a_heartbeat(self):
+        missing = tuple(StoredItem(f"k{version}", b"v", version) for version in (5, 6, 7))
+        sync, pool, _ = create(CacheCopy(missing, 7, 4))
+        sync.on_peer_changes(0, [StoredItem("a", b"v", 4)], 4, peer(4))
+        # The peer's last heartbeat told of version 4; its message shows that it has 7.
+        sync.on_peer_changes(6, [missing[-1]], 7, peer(4))
+        await asyncio.sleep(4 * CHANGES_WAIT_S)
+        self.assertEqual(["/changes?after=4"], pool.paths)
+        self.assertEqual(7, sync.cache.version)
+
+    @asynchronous
+    async def test_a_heartbeat_ahead_of_its_changes_causes_no_fetch(self):
+        sync, pool, _ = create(CacheCopy((), 5, 4))
+        sync.on_peer_changes(0, [StoredItem("a", b"v", 4)], 4, peer(4))
+        sync.on_newer_peer(peer(5))
+        sync.on_peer_changes(4, [StoredItem("b", b"v", 5)], 5, peer(5))
+        await asyncio.sleep(4 * CHANGES_WAIT_S)
+        self.assertEqual([], pool.paths)
+
+    @asynchronous
+    async def test_an_older_copy_of_a_peer_brings_back_nothing_that_was_removed(self):
+        sync, _, changed = create(CacheCopy((StoredItem("gone", b"v", 1),), 3))
+        sync.on_peer_changes(0, [StoredItem("gone", b"v", 1)], 1, peer(1))
+        sync.on_peer_changes(1, [StoredItem("gone", None, 4)], 4, peer(4))
+        changed.clear()
+        await sync._fetch_from_peer(peer(5))
+        self.assertEqual(([], 4), (changed, sync.cache.version))
+        self.assertEqual((), sync.cache.items())
