Answer requests that arrive as a stopping gateway closes its port

One of the troubles that operators of similar systems told of, and it happened here: a connection that was accepted in the iteration of the event loop in which the port is closed was not yet among the open ones, so the gateway took itself for drained and ended, and cut the request off. The new test stops the event loop around that moment and fails on the code before (the gateway had ended with four requests at a server).

Change: after closing the port, 0.1 s pass before idle connections are closed and the open ones counted. Connections that the kernel holds and the process has not accepted are still reset; the platform sends none for 2.5 s by then.

--- a/src/sycamorebay/transport/gateway/gateway.py
+++ b/src/sycamorebay/transport/gateway/gateway.py
@@ -43,6 +43,7 @@
 WAITING_REFRESH_INTERVAL_S = 0.02
 # Keeps a background task that fails at once from using a whole processor core.
 TASK_RESTART_DELAY_S = 0.1
+LAST_ACCEPT_S = 0.1
 LISTEN_BACKLOG = 512
 MAX_LOGGED_FAULTS = 8
 
@@ -237,6 +238,8 @@
         await asyncio.sleep(min(ROTATION_REMOVAL_S, self._settings.stop_s / 2))
         end = started + self._settings.stop_s - STOP_MARGIN_S
         caller_server.close()
+        # Connections accepted a moment ago have not delivered their requests yet.
+        await asyncio.sleep(LAST_ACCEPT_S)
         self._caller_listener.close_idle()
         while self._caller_listener.connections and self._loop.time() < end:
             await asyncio.sleep(0.05)
--- a/tests/test_gateway_connections.py
+++ b/tests/test_gateway_connections.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import time
 
 import testtools
 
@@ -151,6 +153,39 @@
             self.assertEqual({200}, {answer.status for answer in answers})
             self.assertEqual(len(server.requests), len(answers))
 
+    @asynchronous
+    async def test_a_request_that_arrives_as_the_gateway_closes_its_port_is_answered(self):
+        loop = asyncio.get_running_loop()
+        async with fleet(servers=1, stop_s=4.0) as started:
+
+            async def slow(request: ReceivedRequest, connection: ServerConnection) -> None:
+                await asyncio.sleep(0.3)
+                connection.answer(request)
+
+            server = started.servers_by_id["s0"]
+            server.script = slow
+            host, _, port = started.settings[0].callers.partition(":")
+            # The gateway closes its port 2 s after the stop, half of its stop time. Its event loop
+            # stands still around that moment, so that accepting and closing coincide.
+            started.gateways[0]._stopping.set()
+            loop.call_later(1.9, time.sleep, 0.3)
+
+            def ask() -> bytes:
+                time.sleep(2.0)
+                with socket.create_connection((host, int(port)), timeout=3.0) as connection:
+                    connection.sendall(
+                        b"GET /safe/x HTTP/1.1\r\nHost: desk.test\r\n"
+                        b"Sycamorebay-Request-Id: r\r\nSycamorebay-Deadline-Ms: 900\r\n\r\n"
+                    )
+                    return connection.recv(4096)
+
+            asking = [asyncio.create_task(asyncio.to_thread(ask)) for _ in range(4)]
+            await eventually(lambda: len(server.requests) == 4)
+            # The process would end with the gateway, and cut these requests off.
+            self.assertFalse(started._tasks[0].done())
+            answers = await asyncio.gather(*asking)
+            self.assertEqual([b"HTTP/1.1 200"] * 4, [answer[:12] for answer in answers])
+
     @asynchronous
     async def test_connections_are_refused_once_the_platform_has_had_time_to_react(self):
         async with fleet(servers=1) as started:
