--- a/src/sycamorebay/coordination/placing.py
+++ b/src/sycamorebay/coordination/placing.py
@@ -35,8 +35,8 @@
 # The cost of a server is an expected time in seconds; penalties are added to it.
 NEW_CONNECTION_PENALTY_S = 0.004
 CROSS_DOMAIN_PENALTY_S = 0.003
-# Links between failure domains are slower and are billed to the operators, so large answers
-# are served from the same failure domain where possible.
+# Links between failure domains are slower and are billed to the operators, so requests with large
+# bodies are served from the same failure domain where possible.
 CROSS_DOMAIN_PENALTY_S_PER_BYTE = 1e-6
 # Relative jitter keeps daemons that decide at the same moment from choosing the same server.
 _COST_JITTER = 0.15
@@ -115,12 +115,12 @@
     ----------
     seconds : float
         Processing time in seconds on a server without slowdown.
-    answer_bytes : float
-        Size of the answer in bytes.
+    body_bytes : float
+        Size of the bodies of request and answer in bytes.
     """
 
     seconds: float = DEFAULT_PROCESSING_S
-    answer_bytes: float = 0.0
+    body_bytes: float = 0.0
 
 
 _DEFAULT_WORK = WorkEstimate()
@@ -132,7 +132,7 @@
     def __init__(self) -> None:
         self._by_route: dict[str, WorkEstimate] = {}
 
-    def on_answer(self, route: str, seconds: float, slowdown: float, answer_bytes: int = 0) -> None:
+    def on_answer(self, route: str, seconds: float, slowdown: float, body_bytes: int = 0) -> None:
         """Update the estimate of a route with one answer.
 
         Parameters
@@ -143,16 +143,16 @@
             Time to the answer in seconds.
         slowdown : float
             Slowdown of the backend server; values below 1 count as 1.
-        answer_bytes : int
-            Size of the answer in bytes.
+        body_bytes : int
+            Size of the bodies of request and answer in bytes.
         """
         processing_s = seconds / max(1.0, slowdown)
         work = self._by_route.get(route)
         if work is None:
-            self._by_route[route] = WorkEstimate(processing_s, answer_bytes)
+            self._by_route[route] = WorkEstimate(processing_s, body_bytes)
             return
         work.seconds += _WORK_SMOOTHING_FACTOR * (processing_s - work.seconds)
-        work.answer_bytes += _WORK_SMOOTHING_FACTOR * (answer_bytes - work.answer_bytes)
+        work.body_bytes += _WORK_SMOOTHING_FACTOR * (body_bytes - work.body_bytes)
 
     def get(self, route: str) -> WorkEstimate:
         """Return the estimate for the next request of a route, or the default without answers."""
@@ -401,7 +401,7 @@
         cost = work.seconds * load.slowdown(now) * jitter
         cost += load.failure_rate * _FAILURE_PENALTY_S
         if load.entry.failure_domain != self._failure_domain:
-            cost += CROSS_DOMAIN_PENALTY_S + CROSS_DOMAIN_PENALTY_S_PER_BYTE * work.answer_bytes
+            cost += CROSS_DOMAIN_PENALTY_S + CROSS_DOMAIN_PENALTY_S_PER_BYTE * work.body_bytes
         if not self._connected(load.entry.id):
             cost += NEW_CONNECTION_PENALTY_S
         return cost
--- a/src/sycamorebay/transport/gateway/sending.py
+++ b/src/sycamorebay/transport/gateway/sending.py
@@ -246,7 +246,7 @@
         if outcome.result in (Result.NOT_RUN, Result.MISDIRECTED):
             exchange.may_have_run = may_have_run_before
         if outcome.result is Result.DELIVER:
-            self._record_latency(exchange, server, loop.time() - started, len(answer.body))
+            self._record_latency(exchange, server, loop.time() - started, answer)
         return outcome
 
     def _head(self, exchange: Exchange, server: ServerEntry, left_s: float) -> bytes:
@@ -289,11 +289,12 @@
             self._placer.on_report(asyncio.get_running_loop().time(), server.id, metadata.report)
 
     def _record_latency(
-        self, exchange: Exchange, server: ServerEntry, seconds: float, answer_bytes: int
+        self, exchange: Exchange, server: ServerEntry, seconds: float, answer: ClientAnswer
     ) -> None:
         load = self._placer.load(server.id)
         slowdown = load.report.slowdown if load is not None and load.report is not None else 1.0
-        self._placer.work.on_answer(exchange.route.name, seconds, slowdown, answer_bytes)
+        body_bytes = len(exchange.request.body) + len(answer.body)
+        self._placer.work.on_answer(exchange.route.name, seconds, slowdown, body_bytes)
         self._counters.backend.observe(seconds)
 
     def _on_failure(self, server: ServerEntry) -> None:
--- a/tests/test_gateway_servers.py
+++ b/tests/test_gateway_servers.py
@@ -7,7 +7,14 @@
 
 import testtools
 
-from standins.scripts import SHED_HEADERS, SlotLimitedScript, answer_malformed, run_and_reset, shed
+from standins.scripts import (
+    SHED_HEADERS,
+    SlotLimitedScript,
+    after,
+    answer_malformed,
+    run_and_reset,
+    shed,
+)
 from tests.gateway_fleet import Answer, Fleet, config, fleet, route
 from tests.support import asynchronous
 
@@ -119,3 +126,24 @@
                 (503, "not-run"), (answer.status, answer.headers["sycamorebay-outcome"])
             )
             self.assertNotIn(next(iter(SHED_HEADERS)).lower(), answer.headers)
+
+
+class LargeBodiesTest(testtools.TestCase):
+    @asynchronous
+    async def test_uploads_stay_in_the_failure_domain_where_that_costs_little_time(self):
+        document = large_body_config()
+        document["routes"] = {"upload": route("upload")}
+        async with fleet(servers=2, document=document) as started:
+            near, far = started.servers_by_id["s0"], started.servers_by_id["s1"]
+            near.load = lambda: "0,0,4,130"
+            near.script = far.script = after(0.1)
+            elsewhere = far.registration("desk", seq=2)
+            elsewhere["info"]["zone"] = "b"
+            started.store.put("servers/s1", elsewhere)
+            await asyncio.sleep(0.5)
+            caller = await started.caller()
+            for number in range(8):
+                answer = await caller.ask(f"u{number}", "/upload/x", "POST", bytes(60_000))
+                self.assertEqual(200, answer.status)
+            # Before the first answer, the size of a body on this route is not known.
+            self.assertLessEqual(len(far.requests), 1)
