Pass a confirmation on once, not with each heartbeat

Cause: the time of a confirmation is computed from its age in each heartbeat, so the same one seems to be a few tenths of a millisecond newer in the next; relays pushed it to their leaves each time, up to 6.7 times a second.

Change: only an advance of more than 0.05 s is passed on.

--- a/src/sycamorebay/transport/gateway/store_sync.py
+++ b/src/sycamorebay/transport/gateway/store_sync.py
@@ -37,6 +37,8 @@
 PEER_FETCH_TIMEOUT_S = 1.0
 # Changes usually arrive by themselves within this time after a heartbeat that tells of them.
 CHANGES_WAIT_S = 0.05
+# The same confirmation seems a little later in each heartbeat, as their transit times differ.
+MIN_ADVANCE_S = 0.05
 COPY_PATH = "/changes"
 # The store counts as unavailable after this time without a confirmation if a call of this daemon
 # failed as well. When readers merely stop, others replace them sooner and no call fails.
@@ -199,9 +201,10 @@
         if at <= self.confirmed_at:
             return
         self._detect_outage_end()
+        advance_s = at - self.confirmed_at
         self.confirmed_at = at
         self._publish()
-        if self.peers is not None:
+        if self.peers is not None and advance_s > MIN_ADVANCE_S:
             self.peers.push(to_relays=self._reading)
 
     def _detect_outage_end(self) -> None:
