--- a/src/sycamorebay/transport/gateway/client.py
+++ b/src/sycamorebay/transport/gateway/client.py
@@ -12,6 +12,7 @@
 import httptools
 
 from sycamorebay.protocol.header_names import BODILESS_STATUSES, RawHeaders
+from sycamorebay.transport.gateway.buffer_budget import BufferBudget
 from sycamorebay.transport.gateway.sockets import set_socket_options, split_address
 
 CONNECT_TIMEOUT_S = 0.4
@@ -22,8 +23,6 @@
 KEEP_ALIVE_MARGIN_S = 1.0
 MAX_IDLE_PER_ADDRESS = 16
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
-# Of all answers that are being received; a VM may have 200 MB.
-MAX_BUFFERED_BYTES = 48 * 1024 * 1024
 # Of status lines, headers, interim answers and the framing of chunks, complete or not.
 MAX_HEAD_BYTES = 64 * 1024
 # Bytes of chunk framing allowed for each byte of a body; a chunk of one byte needs five.
@@ -58,31 +57,6 @@
     """The request was sent, but no usable answer arrived."""
 
 
-class BufferBudget:
-    """Bytes of answers held by all connections of a pool.
-
-    Parameters
-    ----------
-    limit : int
-        Maximum number of bytes.
-    """
-
-    def __init__(self, limit: int = MAX_BUFFERED_BYTES) -> None:
-        self._limit = limit
-        self.used = 0
-
-    def take(self, size: int) -> bool:
-        """Reserve bytes; return False if they would exceed the limit."""
-        if self.used + size > self._limit:
-            return False
-        self.used += size
-        return True
-
-    def give_back(self, size: int) -> None:
-        """Release reserved bytes."""
-        self.used -= size
-
-
 class Connection(asyncio.Protocol):
     """A client connection that carries one request at a time.
 
--- a/src/sycamorebay/transport/gateway/peers.py
+++ b/src/sycamorebay/transport/gateway/peers.py
@@ -240,9 +240,8 @@
         """Return the relays to contact that have not been heard yet."""
         contacts = self._view.relays() if self._view.is_relay else self._view.home_relays()
         wanted = [contact for contact in contacts if contact.name not in self._table]
-        names = {contact.name for contact in wanted}
-        asked = self._asked_at_by_name
-        self._asked_at_by_name = {name: at for name, at in asked.items() if name in names}
+        for name in self._asked_at_by_name.keys() - {contact.name for contact in wanted}:
+            del self._asked_at_by_name[name]
         return wanted
 
     def _ask(self, now: float, contact: Contact) -> None:
