Bound what forged datagrams may add to a gateway's view

The view was bounded for each failure domain, but other daemons name the domains; leaves had no bound, and a leaf of another domain was taken. 3,000 forged heartbeats of leaves, or of relays in as many domains, were all kept as peers, and 6,000 named contacts were kept and each sent a message. The test of the bound used five domains only.

Change: relays that were heard, and relays in all, are bounded for the whole view; a relay has at most 256 leaves, all of its own domain. The line of the start tells the number of domains and the bandwidth that the settings gave, since a missing bandwidth counts as 0. The new test failed before the bounds (1,000 leaves kept) and passes with them.

--- a/src/sycamorebay/coordination/fleet_view.py
+++ b/src/sycamorebay/coordination/fleet_view.py
@@ -22,6 +22,8 @@
 # Relays of the whole fleet; a fleet of at most this size has no leaves.
 RELAY_LIMIT = 40
 MIN_RELAYS_PER_DOMAIN = 2
+# Leaves attached to one relay; even with half of the relays lost, a fleet of 1,000 has fewer.
+MAX_LEAVES = 256
 # A second relay keeps a leaf informed when the first one fails.
 RELAYS_PER_LEAF = 2
 # A lost relay is not tried again for this time, as other daemons may still name it.
@@ -105,6 +107,8 @@
         self.own = own
         self.is_relay = True
         self.relays_per_domain = max(MIN_RELAYS_PER_DOMAIN, RELAY_LIMIT // max(1, domain_count))
+        # Failure domains are named by other daemons, so their number does not bound the view.
+        self._max_relays = 2 * max(RELAY_LIMIT, self.relays_per_domain * domain_count)
         self._rng = rng
         self._relays_by_name: dict[str, _KnownRelay] = {}
         self._leaves_by_name: dict[str, bool] = {}
@@ -150,7 +154,8 @@
             return True
         self._lost_at_by_name.pop(contact.name, None)
         self._leaves_by_name.pop(contact.name, None)
-        if not self._is_of_interest(contact.failure_domain) or not self.admits(contact):
+        is_full = known is None and len(self.heard_relays()) >= self._max_relays
+        if is_full or not self._is_of_interest(contact.failure_domain) or not self.admits(contact):
             self._relays_by_name.pop(contact.name, None)
             return False
         self._relays_by_name[contact.name] = _KnownRelay(contact, now, now, leaves)
@@ -168,17 +173,31 @@
         if known is not None:
             known.listed_at = now
             return False
-        if not self.admits(contact):
+        if len(self._relays_by_name) >= self._max_relays or not self.admits(contact):
             return False
         self._relays_by_name[contact.name] = _KnownRelay(contact, now)
         self._trim(contact.failure_domain)
         self._update_role(now)
         return True
 
-    def on_leaf(self, name: str, primary: bool) -> None:
-        """Record a leaf that is attached here; `primary` if this is its first relay."""
-        self._relays_by_name.pop(name, None)
-        self._leaves_by_name[name] = primary
+    def on_leaf(self, contact: Contact, primary: bool) -> bool:
+        """Record a leaf of the own failure domain, and return whether it is attached here.
+
+        Parameters
+        ----------
+        contact : Contact
+            The leaf.
+        primary : bool
+            Whether this daemon is its primary relay.
+        """
+        self._relays_by_name.pop(contact.name, None)
+        is_full = len(self._leaves_by_name) >= MAX_LEAVES
+        if is_full and contact.name not in self._leaves_by_name:
+            return False
+        if contact.failure_domain != self.own.failure_domain:
+            return False
+        self._leaves_by_name[contact.name] = primary
+        return True
 
     def on_lost(self, now: float, name: str) -> None:
         """Record that a daemon is silent or has stopped."""
--- a/src/sycamorebay/transport/gateway/gateway.py
+++ b/src/sycamorebay/transport/gateway/gateway.py
@@ -190,7 +190,13 @@
             await self._loop.create_datagram_endpoint(
                 lambda: self._peers, local_addr=split_address(settings.datagrams)
             )
-            _log.warning("started", name=settings.name, callers=settings.callers)
+            _log.warning(
+                "started",
+                name=settings.name,
+                callers=settings.callers,
+                domains=settings.domain_count,
+                link_mbps=settings.link_mbps,
+            )
             async with run_in_background(self._background_tasks(), TASK_RESTART_DELAY_S):
                 await self._stopping.wait()
                 await self._stop(caller_server)
--- a/src/sycamorebay/transport/gateway/peers.py
+++ b/src/sycamorebay/transport/gateway/peers.py
@@ -325,8 +325,7 @@
             # The sender is a leaf too, so it cannot be a relay of this one.
             view.on_lost(now, contact.name)
             return False
-        view.on_leaf(contact.name, heartbeat.primary)
-        return True
+        return view.on_leaf(contact, heartbeat.primary)
 
     def _introduce(self, contact: Contact, is_relay: bool) -> None:
         self._sender.introduce(contact, is_relay, self.heartbeat_s)
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -18,6 +18,7 @@
     spread,
 )
 from sycamorebay.coordination.fleet_view import (
+    MAX_LEAVES,
     RELAY_LIMIT,
     RELAYS_PER_LEAF,
     Contact,
@@ -110,6 +111,21 @@
         self.assertLessEqual(len(view.relays()), 2 * RELAY_LIMIT)
         self.assertLessEqual(len(view.heard_relays()), RELAY_LIMIT)
 
+    def test_the_view_is_bounded_whatever_failure_domains_are_named(self):
+        view = self.view()
+        for number in range(1000):
+            view.on_relay(0.0, contact(number + 1, f"d{number}"), 0)
+            view.on_listed(0.0, contact(number + 5001, f"e{number}"))
+            view.on_leaf(contact(number + 10_001, "a"), True)
+        self.assertLessEqual(len(view.relays()), 4 * RELAY_LIMIT)
+        self.assertLessEqual(view.own_leaf_count(), MAX_LEAVES)
+
+    def test_a_leaf_of_another_failure_domain_is_not_attached(self):
+        view = self.view()
+        self.assertTrue(view.on_leaf(contact(1, "a"), True))
+        self.assertFalse(view.on_leaf(contact(2, "b"), True))
+        self.assertEqual(1, view.own_leaf_count())
+
 
 async def started_fleet(gateways: int, domains: int, seed: int = 1) -> EmulatedFleet:
     fleet = EmulatedFleet(gateways, domains, seed)
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -12,7 +12,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sycamorebay.coordination.fleet_view import RELAY_LIMIT, Contact, FleetView
+from sycamorebay.coordination.fleet_view import MAX_LEAVES, RELAY_LIMIT, Contact, FleetView
 from sycamorebay.coordination.placing import Placer
 from sycamorebay.coordination.server_load import MeanSlowdown, ServerLoad, ServerReport
 from sycamorebay.protocol.load_rows import LoadMessage, LoadRow, encode_loads, id_hash
@@ -185,6 +185,25 @@
         self.assertEqual(1, peers._counters.other_version_datagrams)
         self.assertEqual([], sent.messages)
 
+    @asynchronous
+    async def test_forged_daemons_and_contacts_fill_no_memory_and_cause_no_flood(self):
+        contacts = tuple(Contact(f"c{n}", ("10.3.0.1", n + 1), f"c{n}") for n in range(1000))
+        forged = {
+            "leaves": [{"is_relay": False, "failure_domain": "a"}] * 1000,
+            "leaves of another domain": [{"is_relay": False}] * 1000,
+            "domains": [{"failure_domain": f"d{n}"} for n in range(1000)],
+            "contacts": [{"contacts": contacts}],
+        }
+        for kind, changes in forged.items():
+            peers, sent = create_peers(Placer("a", random.Random(1)))
+            for number, change in enumerate(changes):
+                message = heartbeat(f"x{number}", **change)
+                peers.datagram_received(message, ("10.2.0.1", number + 1))
+            self.assertLessEqual(len(peers.alive()), MAX_LEAVES, kind)
+            self.assertLessEqual(len(peers._view.relays()), 4 * RELAY_LIMIT, kind)
+            # An introduction to each sender, and a question to each contact that is kept.
+            self.assertLessEqual(len(sent.messages), 2 * len(changes) + 4 * RELAY_LIMIT, kind)
+
     @asynchronous
     async def test_an_address_taken_over_by_another_daemon_stays_assigned_to_it(self):
         placer = placer_with_server()
