Log and count listings that are ignored and histories that are gone

Callers saw a configuration that was acknowledged and in force nowhere after the store had come back from a copy. The logs could not tell a listing that was ignored for its revision from a watch that went on in silence: neither the ignored listing nor the answer 410 left a line. Both have a line with the versions and a counter now. No behaviour changes.

--- a/src/sycamorebay/transport/gateway/counters.py
+++ b/src/sycamorebay/transport/gateway/counters.py
@@ -62,6 +62,8 @@
         self.slow_callers_closed = 0
         self.store_calls = 0
         self.store_failures = 0
+        self.store_histories_lost = 0
+        self.older_listings = 0
         self.peer_datagrams = 0
         self.datagrams_sent = 0
         self.datagram_bytes_sent = 0
--- a/src/sycamorebay/transport/gateway/exposition.py
+++ b/src/sycamorebay/transport/gateway/exposition.py
@@ -32,6 +32,8 @@
     "slow_callers_closed": "Connections closed since their callers read too slowly.",
     "store_calls": "Calls to the store.",
     "store_failures": "Calls to the store that failed.",
+    "store_histories_lost": "Watches of the store whose history was no longer there.",
+    "older_listings": "Listings of the store that were older than what was known.",
     "peer_datagrams": "Datagrams from other daemons.",
     "datagrams_sent": "Datagrams to other daemons.",
     "datagram_bytes_sent": "Bytes of datagrams to other daemons.",
--- a/src/sycamorebay/transport/gateway/store_sync.py
+++ b/src/sycamorebay/transport/gateway/store_sync.py
@@ -305,7 +305,9 @@
         after = self.cache.version
         try:
             items, version = await self._feed.changes(after, WATCH_TIMEOUT_S)
-        except ChangesLostError:
+        except ChangesLostError as error:
+            self._counters.store_histories_lost += 1
+            _log.info("history lost", after=after, reason=str(error))
             self._needs_listing = True
             return
         self._on_store_reached()
@@ -324,6 +326,9 @@
         requested_at = self._loop.time()
         listing = await self._feed.list_all()
         self._on_store_reached(requested_at)
+        if listing.version < self.cache.version:
+            self._counters.older_listings += 1
+            _log.warning("older listing ignored", version=listing.version, known=self.cache.version)
         changed = self.cache.on_listing(listing)
         self._needs_listing = False
         self._apply(changed, "listing")
