--- a/standins/kv.py
+++ b/standins/kv.py
@@ -17,10 +17,11 @@
 import attrs
 from aiohttp import web
 
-from standins.platform import Platform, reset_connection
+from standins.platform import Platform, StoreCopy, reset_connection
 
 PAGE_ITEMS = 50
 _LEASE_CHECK_INTERVAL_S = 0.05
+_ERA = "Store-Era"
 
 
 @attrs.define
@@ -47,6 +48,8 @@
         Client addresses whose connections are reset; all others are served.
     leases_pause : bool
         Whether the time of leases stops while the store is silent; otherwise they expire.
+    era_header : str or None
+        Sent in place of the era; an empty one leaves the header out. None sends the era.
     """
 
     refuse_status: int = 0
@@ -58,6 +61,7 @@
     lose_answers: int = 0
     refused_callers: set[str] = attrs.field(factory=set)
     leases_pause: bool = False
+    era_header: str | None = None
 
 
 class KvStore:
@@ -74,6 +78,8 @@
         Faults to inject.
     rejected_calls : int
         Number of calls rejected because they exceeded the rate.
+    era : int
+        How often the store came back from a copy, plus one.
     """
 
     def __init__(self, platform: Platform | None = None) -> None:
@@ -81,6 +87,7 @@
         self.faults = KvFaults()
         self._accepted_at: deque[float] = deque()
         self.rejected_calls = 0
+        self.era = 1
 
     def app(self) -> web.Application:
         """Return the application; it expires leases in the background while it runs."""
@@ -92,6 +99,7 @@
         app.router.add_post("/kv-keep/{lease}", self._renew_lease)
         app.router.add_delete("/kv-lease-end/{lease}", self._revoke_lease)
         app.middlewares.append(self._drop_answers)
+        app.on_response_prepare.append(self._name_era)
         app.cleanup_ctx.append(self._expire_leases)
         return app
 
@@ -100,6 +108,11 @@
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
         self.platform.put({"key": _b64(key.encode()), "value": _b64(data), "lease": lease})
 
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from an older copy, in the next era."""
+        self.platform.restore(copy)
+        self.era += 1
+
     def grant(self, ttl_s: float) -> int:
         """Grant a lease of some seconds and return its id."""
         return int(self.platform.grant({"TTL": ttl_s})["ID"])
@@ -157,7 +170,8 @@
     async def _watch(self, request: web.Request) -> web.Response:
         await self._apply_faults(request)
         prefix, after = request.query.get("prefix", ""), int(request.query["after"])
-        if after < self.faults.forgotten:
+        era = self.era
+        if after < self.faults.forgotten or after > int(self.platform.header()["revision"]):
             return web.json_response({}, status=410)
         queue: asyncio.Queue[Any] = asyncio.Queue()
         self.platform.watchers.add(queue)
@@ -170,6 +184,8 @@
             pass
         finally:
             self.platform.watchers.discard(queue)
+        if era != self.era:
+            reset_connection(request)
         version = int(self.platform.header()["revision"])
         events = self._events(prefix, after)
         await asyncio.sleep(self.faults.late_s)
@@ -218,6 +234,11 @@
             request.transport.abort()
         return answer
 
+    async def _name_era(self, request: web.Request, response: web.StreamResponse) -> None:
+        header = self.faults.era_header
+        if header != "":
+            response.headers[_ERA] = str(self.era) if header is None else header
+
     async def _expire_leases(self, _app: web.Application) -> AsyncIterator[None]:
         async def expire() -> None:
             while True:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -58,6 +58,15 @@
     lease: int
 
 
+@attrs.frozen
+class StoreCopy:
+    """A copy of the store: its items by key, its revision and the last lease it had granted."""
+
+    items: dict[bytes, _Item]
+    revision: int
+    last_lease: int
+
+
 @attrs.define
 class _Lease:
     ttl_s: float
@@ -99,6 +108,23 @@
         self._revision = 1
         self._events: deque[tuple[int, dict[str, Any]]] = deque(maxlen=_MAX_EVENTS)
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the present state."""
+        return StoreCopy(dict(self._items), self._revision, self._next_lease)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Return to a copy: what came later is forgotten, and its numbers are given out again.
+
+        All leases are gone, so that the copy's items with a lease remain until they are written
+        again or deleted.
+        """
+        self._items = dict(copy.items)
+        self._revision = copy.revision
+        self._next_lease = copy.last_lease
+        self._leases.clear()
+        while self._events and self._events[-1][0] > copy.revision:
+            self._events.pop()
+
     def count(self, path: str) -> None:
         """Count a call by its path and by the current second."""
         self.calls[path] += 1
