--- a/bench/emulator/fleet.py
+++ b/bench/emulator/fleet.py
@@ -21,6 +21,7 @@
 
 from bench.emulator.virtual_time import VirtualTimeLoop
 from sycamorebay.coordination.fleet_view import Address, Contact, FleetView
+from sycamorebay.coordination.forgotten import WriterOrder
 from sycamorebay.coordination.placing import Placer
 from sycamorebay.coordination.quarantine import Quarantine
 from sycamorebay.coordination.readers import Candidate
@@ -29,13 +30,18 @@
 from sycamorebay.protocol.store_items import encode_copy
 from sycamorebay.state.blocks import Block
 from sycamorebay.state.server_entries import ServerEntry
-from sycamorebay.state.stored import Listing, StoredItem
+from sycamorebay.state.store_versions import (
+    StoreVersion,
+    VersionedItem,
+    VersionedListing,
+    parse_version,
+)
 from sycamorebay.transport.gateway.client import ClientAnswer, ConnectError
 from sycamorebay.transport.gateway.counters import Counters
 from sycamorebay.transport.gateway.crash_reports import CrashReports
 from sycamorebay.transport.gateway.peer import OwnState, PeerCallbacks
 from sycamorebay.transport.gateway.peers import Peers
-from sycamorebay.transport.gateway.store_sync import StoreSync
+from sycamorebay.transport.gateway.store_sync import ChangesLostError, StoreSync
 
 STORE_ANSWER_S = 0.004
 IN_DOMAIN_S = 0.0002
@@ -48,24 +54,47 @@
 QUARANTINE_PREFIX = "quarantine/"
 
 
+@attrs.frozen
+class StoreCopy:
+    """A copy of the store."""
+
+    items_by_key: dict[str, VersionedItem]
+    history: list[VersionedItem]
+    revision: int
+
+
+class NumberedDocuments:
+    """The `DocumentOrder` of emulated documents, which begin with their number."""
+
+    def writer_order(self, key: str, value: bytes) -> WriterOrder | None:
+        """Return the number that a document begins with; None if it has none."""
+        number = value.partition(b" ")[0]
+        return (int(number), 0) if number.isdigit() else None
+
+    def is_permanent(self, key: str) -> bool:
+        """Return whether a key holds the configuration."""
+        return key == "config"
+
+
 @attrs.define
 class EmulatedStore:
     """The platform's store, with a count of its calls."""
 
-    items_by_key: dict[str, StoredItem] = attrs.field(factory=dict)
-    history: list[StoredItem] = attrs.field(factory=list)
-    version: int = 1
+    items_by_key: dict[str, VersionedItem] = attrs.field(factory=dict)
+    history: list[VersionedItem] = attrs.field(factory=list)
+    version: StoreVersion = attrs.field(factory=lambda: StoreVersion(1, 1))
     calls: int = 0
+    listings: int = 0
     writes: int = 0
     write_attempts: int = 0
     down: bool = False
-    written_at_by_version: dict[int, float] = attrs.field(factory=dict)
+    written_at_by_version: dict[StoreVersion, float] = attrs.field(factory=dict)
     _written: asyncio.Event = attrs.field(factory=asyncio.Event)
 
-    def put(self, key: str, value: bytes | None) -> int:
+    def put(self, key: str, value: bytes | None) -> StoreVersion:
         """Write an item, or remove it if the value is None, and return the new version."""
-        self.version += 1
-        item = StoredItem(key, value, self.version)
+        self.version = attrs.evolve(self.version, revision=self.version.revision + 1)
+        item = VersionedItem(key, value, self.version)
         if value is None:
             self.items_by_key.pop(key, None)
         else:
@@ -76,18 +105,38 @@
         self._written = asyncio.Event()
         return self.version
 
-    async def list_all(self) -> Listing:
+    def copy(self) -> StoreCopy:
+        """Return a copy of the present state."""
+        return StoreCopy(dict(self.items_by_key), list(self.history), self.version.revision)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from an older copy, in the next era."""
+        self.version = StoreVersion(self.version.era + 1, copy.revision)
+        self.items_by_key = {key: self._in_era(item) for key, item in copy.items_by_key.items()}
+        self.history = [self._in_era(item) for item in copy.history]
+        self._written.set()
+        self._written = asyncio.Event()
+
+    def _in_era(self, item: VersionedItem) -> VersionedItem:
+        return attrs.evolve(item, version=attrs.evolve(item.version, era=self.version.era))
+
+    async def list_all(self) -> VersionedListing:
         """Return all items."""
+        self.listings += 1
         await self._call()
-        return Listing(tuple(self.items_by_key.values()), self.version)
+        return VersionedListing(tuple(self.items_by_key.values()), self.version)
 
-    async def changes(self, after: int, wait_s: float) -> tuple[list[StoredItem], int]:
+    async def changes(
+        self, after: StoreVersion, wait_s: float
+    ) -> tuple[list[VersionedItem], StoreVersion]:
         """Wait for changes after a version."""
         await self._call()
         if after >= self.version:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_s):
                     await self._written.wait()
+        if after.era != self.version.era:
+            raise ChangesLostError("the store was restored", step="watch", peer="store")
         return [item for item in self.history if item.version > after], self.version
 
     async def write(self, key: str, value: bytes) -> None:
@@ -121,7 +170,8 @@
         self.contact = contact
         self.running = False
         self.link_free_at = 0.0
-        self.applied_at_by_version: dict[int, float] = {}
+        self.applied_at_by_version: dict[StoreVersion, float] = {}
+        self.values_by_key: dict[str, bytes | None] = {}
         self._fleet = fleet
         self._seeds = [seed for seed in seeds if seed != contact.address]
         self._tasks: list[asyncio.Task[None]] = []
@@ -140,7 +190,9 @@
             self._on_changed,
             random.Random(rng.random()),
             first_start=loop.time() <= START_SPREAD_S,
+            order=NumberedDocuments(),
         )
+        self.values_by_key = {}
         view = FleetView(self.contact, fleet.domain_count, random.Random(rng.random()))
         placer = Placer(self.contact.failure_domain, random.Random(rng.random()))
         own = OwnState(self.contact, self.contact.name, int(loop.time() * 1000) + 1)
@@ -170,7 +222,7 @@
             task.cancel()
 
     @property
-    def version(self) -> int:
+    def version(self) -> StoreVersion:
         """Version of the store up to which this gateway's copy is complete."""
         return self.sync.cache.version
 
@@ -183,12 +235,13 @@
         """Whether this gateway refuses a request since it crashes servers."""
         return self.crashes.blocked_s(request) > 0
 
-    def _on_changed(self, items: list[StoredItem], _keep_until: float) -> None:
+    def _on_changed(self, items: list[VersionedItem], _keep_until: float) -> None:
         now = asyncio.get_running_loop().time()
         for item in items:
             if item.key.startswith(QUARANTINE_PREFIX):
                 block = None if item.value is None else Block(**json.loads(item.value))
                 self.crashes.on_block(item.key.removeprefix(QUARANTINE_PREFIX), block)
+            self.values_by_key[item.key] = item.value
             self.applied_at_by_version.setdefault(item.version, now)
 
 
@@ -277,7 +330,7 @@
         if not source.running or self.is_cut(receiver, source):
             await asyncio.sleep(0.4)
             raise ConnectError("connecting took too long")
-        data = encode_copy(source.sync.copy_after(int(path.rpartition("=")[2])))
+        data = encode_copy(source.sync.copy_after(parse_version(path.rpartition("=")[2])))
         await asyncio.sleep(2 * CROSS_DOMAIN_S)
         wait_s = max(0.0, source.link_free_at - asyncio.get_running_loop().time())
         await asyncio.sleep(max(0.0, wait_s - LINK_QUEUE_S / 2))
@@ -318,11 +371,13 @@
     fleet: EmulatedFleet
     gateway: EmulatedGateway
 
-    async def list_all(self) -> Listing:
+    async def list_all(self) -> VersionedListing:
         await self._check()
         return await self.fleet.store.list_all()
 
-    async def changes(self, after: int, wait_s: float) -> tuple[list[StoredItem], int]:
+    async def changes(
+        self, after: StoreVersion, wait_s: float
+    ) -> tuple[list[VersionedItem], StoreVersion]:
         await self._check()
         return await self.fleet.store.changes(after, wait_s)
 
@@ -348,7 +403,7 @@
     missing: int
 
 
-def spread(fleet: EmulatedFleet, version: int) -> Spread:
+def spread(fleet: EmulatedFleet, version: StoreVersion) -> Spread:
     """Return how a change reached the gateways that run."""
     written_at = fleet.store.written_at_by_version[version]
     ages, missing = [], 0
--- a/src/sycamorebay/coordination/quarantine.py
+++ b/src/sycamorebay/coordination/quarantine.py
@@ -33,6 +33,8 @@
 WRITE_RETRY_S = 2.0
 # Daemons that only heard of the crashes write the key later, and at different times.
 _WRITE_DELAY_S = (1.0, 4.0)
+# The owner of a key writes it first when a restored store has forgotten it.
+_OWNER_WRITE_DELAY_S = 0.2
 
 
 @attrs.define
@@ -47,6 +49,8 @@
         End of the block that its confirmed crashes have caused, in seconds.
     stored : bool
         Whether the store has its key.
+    forgotten : bool
+        Whether a restored store lacks the key, which nobody has removed.
     write_at : float
         When this daemon writes the key, in seconds.
     seen_here : bool
@@ -62,6 +66,7 @@
     crashed_at_by_server: dict[str, float] = attrs.field(factory=dict)
     blocked_until: float = -inf
     stored: bool = False
+    forgotten: bool = False
     write_at: float = inf
     seen_here: bool = False
     owned: bool = False
@@ -166,7 +171,7 @@
             Whether this daemon got the answer, and so has to clear the key.
         """
         record = self._by_fingerprint.pop(fingerprint, None)
-        if record is not None and record.stored and own:
+        if record is not None and (record.stored or record.forgotten) and own:
             self._clear_at_by_fingerprint[fingerprint] = -inf
         return record is not None
 
@@ -219,6 +224,7 @@
             record.trial_at = inf
         record.owned = owned
         record.stored = True
+        record.forgotten = False
         record.blocked_until = max(record.blocked_until, now + BLOCK_S)
         self._forget_old(now)
 
@@ -236,6 +242,19 @@
         if len(record.crashed_at_by_server) < CRASHES_TO_BLOCK:
             record.blocked_until = now
 
+    def on_forgotten(self, now: float, fingerprint: str) -> None:
+        """Record that a restored store lacks the key of a request.
+
+        The block goes on to its end at every daemon, and its owner writes the key again; if the
+        owner is gone, another one does a little later.
+        """
+        record = self._by_fingerprint.get(fingerprint)
+        if record is None or not record.stored:
+            return
+        record.stored = False
+        record.forgotten = True
+        record.write_at = now + (_OWNER_WRITE_DELAY_S if record.owned else self._write_delay_s())
+
     def is_suspected(self, fingerprint: str) -> bool:
         """Return whether a request may have crashed a server."""
         return fingerprint in self._by_fingerprint
@@ -275,7 +294,8 @@
             self._drop_if_empty(fingerprint, record)
             left_s = record.blocked_until - now
             is_due = not record.stored and now >= record.write_at
-            if is_due and left_s > WRITE_RETRY_S and (for_others or record.seen_here):
+            is_own = record.seen_here or record.owned
+            if is_due and left_s > WRITE_RETRY_S and (for_others or is_own):
                 record.write_at = now + WRITE_RETRY_S
                 due[fingerprint] = left_s
         return due
@@ -291,7 +311,8 @@
         return self._rng.uniform(*_WRITE_DELAY_S)
 
     def _is_held(self, record: _Record) -> bool:
-        return record.stored or len(record.crashed_at_by_server) >= CRASHES_TO_BLOCK
+        crashed = len(record.crashed_at_by_server)
+        return record.stored or record.forgotten or crashed >= CRASHES_TO_BLOCK
 
     def _update(self, now: float, record: _Record) -> None:
         """Confirm crashes that no answer has refuted, and end a block whose time is over."""
@@ -302,6 +323,7 @@
                 record.blocked_until = now + BLOCK_S
         elif now >= record.blocked_until and not record.stored:
             record.blocked_until = -inf
+            record.forgotten = False
             record.write_at = inf
             latest = sorted(crashes, key=lambda server: crashes[server])
             record.crashed_at_by_server = {
@@ -312,7 +334,7 @@
                 del record.crashed_at_by_server[server]
 
     def _drop_if_empty(self, fingerprint: str, record: _Record) -> None:
-        if not record.crashed_at_by_server and not record.stored:
+        if not (record.crashed_at_by_server or record.stored or record.forgotten):
             self._by_fingerprint.pop(fingerprint, None)
 
     def _forget_old(self, now: float) -> None:
--- a/src/sycamorebay/platform/documents.py
+++ b/src/sycamorebay/platform/documents.py
@@ -10,6 +10,7 @@
 from collections.abc import Mapping
 from typing import Any
 
+from sycamorebay.coordination.forgotten import WriterOrder
 from sycamorebay.platform.values import ValueFault, integer, number, seconds, table, text
 from sycamorebay.state.blocks import Block
 from sycamorebay.state.routing import (
@@ -47,6 +48,24 @@
             return None
         return key.removeprefix(QUARANTINE_PREFIX)
 
+    def writer_order(self, key: str, value: bytes) -> WriterOrder | None:
+        """Return the place of a document among those of its writer; None if it has no number."""
+        try:
+            if self.is_routing(key):
+                return integer(json.loads(value), "version"), 0
+            if (server_id := self.server_id(key)) is not None:
+                entry = self.read_server(server_id, value)
+                return entry.started_ms, entry.sequence
+            if self.blocked_fingerprint(key) is not None:
+                return int(self.read_block(value).cleared), 0
+        except (ValueError, TypeError):
+            pass
+        return None
+
+    def is_permanent(self, key: str) -> bool:
+        """Return whether a key, once written, is never deleted by its writer."""
+        return self.is_routing(key)
+
     def read_block(self, value: bytes) -> Block:
         """Return the decoded value of the key of a blocked request.
 
--- a/src/sycamorebay/protocol/peer_messages.py
+++ b/src/sycamorebay/protocol/peer_messages.py
@@ -12,11 +12,16 @@
 import attrs
 
 from sycamorebay.coordination.fleet_view import Contact
-from sycamorebay.protocol.store_items import items_to_rows, rows_to_items
-from sycamorebay.state.stored import StoredItem
+from sycamorebay.protocol.store_items import (
+    items_to_rows,
+    row_to_version,
+    rows_to_items,
+    version_to_row,
+)
+from sycamorebay.state.store_versions import StoreVersion, VersionedItem
 
 # Changes with the meaning of the messages; daemons ignore each other's messages across versions.
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 # A datagram that decompresses to more than this is not one of ours.
 MAX_MESSAGE_BYTES = 1_000_000
 _COMPRESS_ABOVE_BYTES = 900
@@ -48,7 +53,7 @@
         Whether it asks for an answer with contacts.
     primary : bool
         Whether the receiver is the primary relay of this leaf.
-    version : int
+    version : StoreVersion
         Version of its copy of the store.
     confirmed_age_s : float
         Time since a reader confirmed that its copy was up to date, in seconds.
@@ -64,6 +69,8 @@
         Daemons in the fleet, as far as it knows.
     contacts : tuple of Contact
         Some relays.
+    kept : int
+        Keys whose state it knows from before a restore, and not from the store.
     """
 
     name: str
@@ -74,7 +81,7 @@
     is_relay: bool
     asks: bool
     primary: bool
-    version: int
+    version: StoreVersion
     confirmed_age_s: float
     reaches_store: bool
     interval_s: float
@@ -82,6 +89,7 @@
     relays: int
     fleet_size: int
     contacts: tuple[Contact, ...] = ()
+    kept: int = 0
 
 
 @attrs.frozen
@@ -92,17 +100,18 @@
     ----------
     name, incarnation
         As in `Heartbeat`.
-    after, version : int
-        Versions before and after the changes.
-    items : tuple of StoredItem
-        The changed items.
+    after, version : StoreVersion
+        Versions before and after the changes; `after` is of an earlier era if the store was
+        restored between them.
+    items : tuple of VersionedItem
+        The changed items, of the era of `version`.
     """
 
     name: str
     incarnation: int
-    after: int
-    version: int
-    items: tuple[StoredItem, ...]
+    after: StoreVersion
+    version: StoreVersion
+    items: tuple[VersionedItem, ...]
 
 
 @attrs.frozen
@@ -208,8 +217,8 @@
         return {
             **document,
             "t": "changes",
-            "after": message.after,
-            "version": message.version,
+            "after": version_to_row(message.after),
+            "version": version_to_row(message.version),
             "items": rows,
         }
     if isinstance(message, Leave):
@@ -232,7 +241,8 @@
         "relay": message.is_relay,
         "asks": message.asks,
         "primary": message.primary,
-        "version": message.version,
+        "version": version_to_row(message.version),
+        "kept": message.kept,
         "age": round(message.confirmed_age_s, 3),
         "store": message.reaches_store,
         "next": round(message.interval_s, 3),
@@ -246,8 +256,8 @@
 def _from_document(document: dict[str, Any]) -> PeerMessage:
     name, incarnation, kind = str(document["n"]), int(document["i"]), document["t"]
     if kind == "changes":
-        items = tuple(rows_to_items(document["items"]))
-        after, version = int(document["after"]), int(document["version"])
+        after, version = row_to_version(document["after"]), row_to_version(document["version"])
+        items = tuple(rows_to_items(document["items"], version.era))
         return Changes(name, incarnation, after, version, items)
     if kind == "leave":
         return Leave(name, incarnation)
@@ -267,7 +277,7 @@
         is_relay=bool(document["relay"]),
         asks=bool(document["asks"]),
         primary=bool(document["primary"]),
-        version=int(document["version"]),
+        version=row_to_version(document["version"]),
         confirmed_age_s=_number(document["age"]),
         reaches_store=bool(document["store"]),
         interval_s=_number(document["next"]),
@@ -275,6 +285,7 @@
         relays=int(document["relays"]),
         fleet_size=int(document["fleet"]),
         contacts=tuple(_contact(*row) for row in document["peers"]),
+        kept=max(0, int(document["kept"])),
     )
 
 
--- a/src/sycamorebay/protocol/store_items.py
+++ b/src/sycamorebay/protocol/store_items.py
@@ -10,9 +10,12 @@
 
 import attrs
 
-from sycamorebay.state.stored import StoredItem
+from sycamorebay.state.store_versions import StoreVersion, VersionedItem
 
 Row = list[str | int | None]
+# Flags of a row, its fourth element.
+_IS_BASE64 = 1
+_IS_FORGOTTEN = 2
 
 
 @attrs.frozen
@@ -21,41 +24,66 @@
 
     Attributes
     ----------
-    items : tuple of StoredItem
+    items : tuple of VersionedItem
         All items, or those that changed after a version, deleted ones included.
-    version : int
-        Version of the store up to which they are complete.
-    after : int or None
+    version : StoreVersion
+        Version of the store up to which they are complete; all items are of its era.
+    after : StoreVersion or None
         Version after which the items changed; None for a whole copy.
     """
 
-    items: tuple[StoredItem, ...]
-    version: int
-    after: int | None = None
+    items: tuple[VersionedItem, ...]
+    version: StoreVersion
+    after: StoreVersion | None = None
 
 
-def items_to_rows(items: Iterable[StoredItem]) -> list[Row]:
-    """Return items as rows for JSON: key, value or None, and version.
+def version_to_row(version: StoreVersion) -> list[int]:
+    """Return a version for JSON: its era and revision."""
+    return [version.era, version.revision]
 
-    A value that is not UTF-8 is written in Base64, which a fourth element of its row tells.
+
+def row_to_version(row: Any) -> StoreVersion:
+    """Return the version of a decoded JSON row.
+
+    Raises
+    ------
+    ValueError, TypeError
+        If the row is malformed.
+    """
+    era, revision = row
+    if type(era) is not int or type(revision) is not int or era < 0 or revision < 0:
+        raise ValueError(f"expected an era and a revision, found {row!r}")
+    return StoreVersion(era, revision)
+
+
+def items_to_rows(items: Iterable[VersionedItem]) -> list[Row]:
+    """Return items of one era as rows for JSON: key, value or None, and revision.
+
+    A fourth element holds flags if there are any: whether the value is in Base64, since it is not
+    UTF-8, and whether a restored store has forgotten it. A fifth one is the last value of a key
+    that is deleted.
     """
     return [_row(item) for item in items]
 
 
-def rows_to_items(rows: Iterable[Any]) -> list[StoredItem]:
-    """Return the items of decoded JSON rows.
+def rows_to_items(rows: Iterable[Any], era: int) -> list[VersionedItem]:
+    """Return the items of decoded JSON rows, which are of an era.
 
     Raises
     ------
     ValueError, TypeError, AttributeError
         If a row is malformed.
     """
-    return [_item(row) for row in rows]
+    return [_item(row, era) for row in rows]
 
 
 def encode_copy(copy: CacheCopy) -> bytes:
     """Return the compressed bytes of a copy."""
-    document = {"version": copy.version, "after": copy.after, "items": items_to_rows(copy.items)}
+    document = {
+        "version": version_to_row(copy.version),
+        "after": None if copy.after is None else version_to_row(copy.after),
+        "items": items_to_rows(copy.items),
+    }
     return zlib.compress(json.dumps(document).encode(), 1)
 
 
@@ -70,27 +98,46 @@
     try:
         document = json.loads(zlib.decompress(data))
         after = document["after"]
+        version = row_to_version(document["version"])
         return CacheCopy(
-            tuple(rows_to_items(document["items"])),
-            int(document["version"]),
-            None if after is None else int(after),
+            tuple(rows_to_items(document["items"], version.era)),
+            version,
+            None if after is None else row_to_version(after),
         )
     except (KeyError, TypeError, AttributeError, zlib.error) as error:
         raise ValueError(f"the data is not a copy of a store cache: {error!r}") from error
 
 
-def _row(item: StoredItem) -> Row:
-    if item.value is None:
-        return [item.key, None, item.version]
-    try:
-        return [item.key, item.value.decode(), item.version]
-    except UnicodeDecodeError:
-        return [item.key, base64.b64encode(item.value).decode(), item.version, 1]
+def _row(item: VersionedItem) -> Row:
+    value, flags = _encode_value(item.value)
+    row: Row = [item.key, value, item.version.revision]
+    if item.forgotten:
+        flags |= _IS_FORGOTTEN
+    if flags or item.last_value is not None:
+        row.append(flags)
+    if item.last_value is not None:
+        row.append(base64.b64encode(item.last_value).decode())
+    return row
 
 
-def _item(row: Any) -> StoredItem:
-    key, value, version, *is_base64 = row
+def _encode_value(value: bytes | None) -> tuple[str | None, int]:
+    """Return a value as text, and the flags that tell how."""
     if value is None:
-        return StoredItem(str(key), None, int(version))
-    data = base64.b64decode(value) if is_base64 else value.encode()
-    return StoredItem(str(key), data, int(version))
+        return None, 0
+    try:
+        return value.decode(), 0
+    except UnicodeDecodeError:
+        return base64.b64encode(value).decode(), _IS_BASE64
+
+
+def _item(row: Any, era: int) -> VersionedItem:
+    key, text, revision, *rest = row
+    flags = int(rest[0]) if rest else 0
+    value = None
+    if text is not None:
+        value = base64.b64decode(text) if flags & _IS_BASE64 else text.encode()
+    last_value = base64.b64decode(rest[1]) if len(rest) > 1 else None
+    is_forgotten = bool(flags & _IS_FORGOTTEN)
+    return VersionedItem(
+        str(key), value, StoreVersion(era, int(revision)), is_forgotten, last_value
+    )
--- a/src/sycamorebay/transport/gateway/adapter.py
+++ b/src/sycamorebay/transport/gateway/adapter.py
@@ -4,6 +4,7 @@
 
 from typing import Protocol
 
+from sycamorebay.coordination.forgotten import DocumentOrder
 from sycamorebay.state.blocks import Block
 from sycamorebay.state.routing import RoutingTable
 from sycamorebay.state.server_entries import ServerEntry
@@ -13,7 +14,7 @@
 from sycamorebay.transport.gateway.store_sync import ChangeFeed
 
 
-class Documents(Protocol):
+class Documents(DocumentOrder, Protocol):
     """Decodes the values of items of the store."""
 
     def is_routing(self, key: str) -> bool:
--- a/src/sycamorebay/transport/gateway/counters.py
+++ b/src/sycamorebay/transport/gateway/counters.py
@@ -64,6 +64,11 @@
         self.store_failures = 0
         self.store_histories_lost = 0
         self.older_listings = 0
+        self.store_restores = 0
+        self.earlier_eras_refused = 0
+        self.eras_unreadable = 0
+        self.eras_doubted = 0
+        self.leases_of_other_era = 0
         self.peer_datagrams = 0
         self.datagrams_sent = 0
         self.datagram_bytes_sent = 0
--- a/src/sycamorebay/transport/gateway/crash_reports.py
+++ b/src/sycamorebay/transport/gateway/crash_reports.py
@@ -151,6 +151,11 @@
             cleared=block is None or block.cleared,
         )
 
+    def on_block_forgotten(self, fingerprint: str) -> None:
+        """Record that a restored store lacks the key of a blocked request."""
+        self._quarantine.on_forgotten(self._loop.time(), fingerprint)
+        _log.info("key of a blocked request forgotten", fingerprint=fingerprint)
+
     def on_crash(self, request: Fingerprints, entry: ServerEntry) -> None:
         """Record that a server's connection ended while it ran a request of this daemon."""
         now = self._loop.time()
--- a/src/sycamorebay/transport/gateway/gateway.py
+++ b/src/sycamorebay/transport/gateway/gateway.py
@@ -20,7 +20,7 @@
 from sycamorebay.protocol.store_items import encode_copy
 from sycamorebay.state.routing import RoutingTable
 from sycamorebay.state.server_entries import ServerEntries, ServerEntry
-from sycamorebay.state.stored import StoredItem
+from sycamorebay.state.store_versions import VersionedItem, parse_version
 from sycamorebay.transport.background import BackgroundTask, run_in_background
 from sycamorebay.transport.gateway.adapter import Documents, FeedFactory
 from sycamorebay.transport.gateway.body_reservations import body_wait_s
@@ -106,6 +106,7 @@
             self._on_store_changes,
             random.Random(),
             first_start=settings.first_start,
+            order=documents,
         )
         self._peers = self._open_peers(own, seeds)
         self._store_sync.peers = self._peers
@@ -148,6 +149,7 @@
             body_wait_s=partial(body_wait_s, header_codec),
         )
         self._stopping = asyncio.Event()
+        self._routing_era = 0
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then stop gracefully.
@@ -243,7 +245,7 @@
         """Log SIGHUP and ignore it; all that may change at run time comes from the store."""
         _log.warning("reload ignored", settings="unchanged")
 
-    def _on_store_changes(self, changed: list[StoredItem], keep_missing_until: float) -> None:
+    def _on_store_changes(self, changed: list[VersionedItem], keep_missing_until: float) -> None:
         now = self._loop.time()
         servers_changed = False
         for item in changed:
@@ -256,9 +258,12 @@
         if servers_changed:
             self._on_servers(now)
 
-    def _on_block(self, fingerprint: str, item: StoredItem) -> None:
+    def _on_block(self, fingerprint: str, item: VersionedItem) -> None:
         if item.value is None:
-            self._crashes.on_block(fingerprint, None)
+            if item.forgotten:
+                self._crashes.on_block_forgotten(fingerprint)
+            else:
+                self._crashes.on_block(fingerprint, None)
             return
         try:
             block = self._documents.read_block(item.value)
@@ -274,7 +279,7 @@
         if entry is not None and not failed:
             self._crashes.on_answer(entry)
 
-    def _on_routing(self, item: StoredItem) -> None:
+    def _on_routing(self, item: VersionedItem) -> None:
         if item.value is None:
             return
         try:
@@ -282,16 +287,26 @@
         except (ValueError, TypeError) as error:
             self._counters.undecodable += 1
             _log.warning(
-                "configuration could not be decoded", version=item.version, reason=str(error)
+                "configuration could not be decoded", version=str(item.version), reason=str(error)
             )
             return
         current = self._forwarder.routing
-        if current is not None and current.version >= routing.version:
-            _log.warning("older configuration ignored", version=routing.version)
+        # After a restore of the store, an earlier number may be the operator's next.
+        is_same_era = item.version.era == self._routing_era
+        if current is not None and current.version >= routing.version and is_same_era:
+            _log.warning(
+                "older configuration ignored", version=routing.version, store=str(item.version)
+            )
             return
+        self._routing_era = item.version.era
         self._forwarder.on_routing(routing)
         self._caller_listener.request_limits = routing.request_limits
-        _log.warning("configuration in force", version=routing.version, routes=len(routing.routes))
+        _log.warning(
+            "configuration in force",
+            version=routing.version,
+            routes=len(routing.routes),
+            store=str(item.version),
+        )
         self._report_faults(routing)
 
     def _report_faults(self, routing: RoutingTable) -> None:
@@ -308,12 +323,17 @@
             count=len(faults),
         )
 
-    def _on_server(self, now: float, item: StoredItem, keep_missing_until: float) -> bool:
+    def _on_server(self, now: float, item: VersionedItem, keep_missing_until: float) -> bool:
         server_id = self._documents.server_id(item.key)
         if server_id is None:
             return False
         if item.value is None:
-            _log.info("server entry removed", server=server_id, kept_until=keep_missing_until - now)
+            _log.info(
+                "server entry removed",
+                server=server_id,
+                forgotten=item.forgotten,
+                kept_s=round(max(0.0, keep_missing_until - now), 3),
+            )
             return self._entries.remove(now, server_id, keep_missing_until)
         try:
             entry = self._documents.read_server(server_id, item.value)
@@ -322,7 +342,10 @@
             _log.warning("server entry could not be decoded", server=server_id, reason=str(error))
             return False
         _log.info(
-            "server entry received", server=server_id, leaving=entry.leaving, version=item.version
+            "server entry received",
+            server=server_id,
+            leaving=entry.leaving,
+            version=str(item.version),
         )
         return self._entries.put(entry)
 
@@ -381,10 +404,11 @@
 
     async def _on_control(self, request: CallerRequest) -> CallerAnswer:
         if request.path == COPY_PATH:
-            after = request.target.rpartition("after=")[2]
-            if not after.isdecimal():
+            try:
+                after = parse_version(request.target.rpartition("after=")[2])
+            except ValueError:
                 return CallerAnswer(400, [])
-            return CallerAnswer(200, [], encode_copy(self._store_sync.copy_after(int(after))))
+            return CallerAnswer(200, [], encode_copy(self._store_sync.copy_after(after)))
         if request.path == "/metrics":
             text = self._counters.text(
                 self._log_writer.dropped, len(self._caller_listener.connections)
--- a/src/sycamorebay/transport/gateway/peer.py
+++ b/src/sycamorebay/transport/gateway/peer.py
@@ -10,7 +10,7 @@
 from sycamorebay.coordination.fleet_view import Contact
 from sycamorebay.coordination.readers import Candidate
 from sycamorebay.protocol.peer_messages import CrashNews, CrashReport
-from sycamorebay.state.stored import StoredItem
+from sycamorebay.state.store_versions import NO_VERSION, StoreVersion, VersionedItem
 
 # Applies until the first heartbeat of a peer names its interval.
 INITIAL_TIMEOUT_S = 1.0
@@ -34,8 +34,10 @@
         Whether it is a relay.
     last_seen_at : float
         When its last heartbeat arrived.
-    version : int
+    version : StoreVersion
         Version of its copy of the store.
+    kept : int
+        Keys whose state it knows from before a restore, and not from the store.
     confirmed_at : float
         When a reader last confirmed that its copy was up to date.
     reaches_store : bool
@@ -50,7 +52,8 @@
     incarnation: int
     is_relay: bool
     last_seen_at: float
-    version: int = 0
+    version: StoreVersion = NO_VERSION
+    kept: int = 0
     confirmed_at: float = float("-inf")
     reaches_store: bool = False
     timeout_s: float = INITIAL_TIMEOUT_S
@@ -60,6 +63,11 @@
         """Name of the daemon, unique in the fleet."""
         return self.contact.name
 
+    def is_ahead_of(self, version: StoreVersion, kept: int) -> bool:
+        """Return whether the peer knows more of the store than a daemon that has these two."""
+        is_same_era = self.version.era == version.era
+        return self.version > version or (is_same_era and self.kept > kept)
+
     def candidate(self) -> Candidate:
         """Return the peer as a candidate for a reader of the store."""
         return Candidate(self.contact, self.reaches_store)
@@ -72,7 +80,8 @@
     contact: Contact
     control: str
     incarnation: int
-    version: int = 0
+    version: StoreVersion = NO_VERSION
+    kept: int = 0
     confirmed_at: float = float("-inf")
     reaches_store: bool = False
 
@@ -86,13 +95,17 @@
     """Receives what peers report about the store."""
 
     def on_peer_changes(
-        self, after: int, items: tuple[StoredItem, ...], version: int, peer: Peer
+        self,
+        after: StoreVersion,
+        items: tuple[VersionedItem, ...],
+        version: StoreVersion,
+        peer: Peer,
     ) -> None:
         """Apply changes between two versions that a peer sent."""
         ...
 
     def on_newer_peer(self, peer: Peer) -> None:
-        """Handle a peer that has a later version of the store."""
+        """Handle a peer that has a later version of the store, or knows what it has forgotten."""
         ...
 
     def on_confirmed(self, at: float) -> None:
--- a/src/sycamorebay/transport/gateway/peer_sender.py
+++ b/src/sycamorebay/transport/gateway/peer_sender.py
@@ -144,4 +144,5 @@
             relays=view.relay_count(),
             fleet_size=view.size(now),
             contacts=tuple(contacts),
+            kept=own.kept,
         )
--- a/src/sycamorebay/transport/gateway/peers.py
+++ b/src/sycamorebay/transport/gateway/peers.py
@@ -28,7 +28,7 @@
     decode_message,
     encode_message,
 )
-from sycamorebay.state.stored import StoredItem
+from sycamorebay.state.store_versions import StoreVersion, VersionedItem
 from sycamorebay.transport.gateway.counters import Counters
 from sycamorebay.transport.gateway.introductions import Introductions
 from sycamorebay.transport.gateway.limit_exchange import LimitExchange
@@ -187,21 +187,25 @@
             self._send_heartbeats(now, interval_s)
             await asyncio.sleep(interval_s)
 
-    def send_changes(self, after: int, items: Iterable[StoredItem], version: int) -> None:
+    def send_changes(
+        self, after: StoreVersion, items: Iterable[VersionedItem], version: StoreVersion
+    ) -> None:
         """Send changes of the store to every peer.
 
         Parameters
         ----------
-        after : int
+        after : StoreVersion
             Version before the changes.
-        items : iterable of StoredItem
+        items : iterable of VersionedItem
             The changed items.
-        version : int
+        version : StoreVersion
             Version after the changes.
         """
         self._send_changes(after, tuple(items), version, self._table)
 
-    def forward_changes(self, after: int, items: Iterable[StoredItem], version: int) -> None:
+    def forward_changes(
+        self, after: StoreVersion, items: Iterable[VersionedItem], version: StoreVersion
+    ) -> None:
         """Pass on changes of the store that another daemon sent, to the own leaves."""
         if leaves := self._table.leaves():
             self._send_changes(after, tuple(items), version, leaves)
@@ -234,7 +238,11 @@
         self._sender.send_bytes(data, self._table.addresses())
 
     def _send_changes(
-        self, after: int, items: tuple[StoredItem, ...], version: int, peers: Iterable[Peer]
+        self,
+        after: StoreVersion,
+        items: tuple[VersionedItem, ...],
+        version: StoreVersion,
+        peers: Iterable[Peer],
     ) -> None:
         receivers = list(peers)
         message = Changes(self.own.name, self.own.incarnation, after, version, items)
@@ -363,6 +371,7 @@
         peer.is_relay = heartbeat.is_relay
         peer.last_seen_at = now
         peer.version = heartbeat.version
+        peer.kept = heartbeat.kept
         peer.confirmed_at = now - heartbeat.confirmed_age_s
         peer.reaches_store = heartbeat.reaches_store
         peer.timeout_s = heartbeat.interval_s * TIMEOUT_HEARTBEATS + TIMEOUT_SLACK_S
@@ -370,9 +379,11 @@
 
     def _report(self, peer: Peer) -> None:
         """Report what a peer's heartbeat tells about the store."""
-        if peer.version > self.own.version:
+        own = self.own
+        if peer.is_ahead_of(own.version, own.kept):
             self._callbacks.events.on_newer_peer(peer)
-        else:
+        # A peer that has not heard of a restore confirms nothing of what the store has now.
+        if peer.version.era == own.version.era and peer.version <= own.version:
             self._callbacks.events.on_confirmed(peer.confirmed_at)
 
     def _update_role(self, now: float) -> None:
--- a/src/sycamorebay/transport/gateway/store_sync.py
+++ b/src/sycamorebay/transport/gateway/store_sync.py
@@ -15,12 +15,18 @@
 import attrs
 
 from sycamorebay import log
+from sycamorebay.coordination.forgotten import DocumentOrder
 from sycamorebay.coordination.rate_limit import Backoff
 from sycamorebay.coordination.readers import Candidate, ReaderSelection
-from sycamorebay.coordination.store_cache import StoreCache
+from sycamorebay.coordination.store_cache import REWRITE_S, StoreCache
 from sycamorebay.errors import PlatformError
 from sycamorebay.protocol.store_items import CacheCopy, decode_copy
-from sycamorebay.state.stored import Listing, StoredItem
+from sycamorebay.state.store_versions import (
+    NO_VERSION,
+    StoreVersion,
+    VersionedItem,
+    VersionedListing,
+)
 from sycamorebay.transport.gateway.client import AnswerError, ConnectError
 from sycamorebay.transport.gateway.connection_pool import ConnectionPool
 from sycamorebay.transport.gateway.counters import Counters
@@ -51,19 +57,21 @@
 # Selected readers notice the store's return soon; the others, which may be hundreds, retry later.
 READER_RETRY_S = 0.5
 STALE_RETRY_FACTOR = 4.0
+# Between copies that are fetched for what the store has forgotten.
+KEPT_FETCH_INTERVAL_S = 1.0
 _MIN_LISTING_INTERVAL_S = 0.4
 
 _log = log.get_logger("following")
 
 
 class ChangesLostError(PlatformError):
-    """The store no longer holds the changes after the requested version."""
+    """The store no longer holds the changes after the requested version, or was restored."""
 
 
 class ChangeFeed(Protocol):
     """The interface of the store that a reader uses."""
 
-    async def list_all(self) -> Listing:
+    async def list_all(self) -> VersionedListing:
         """Return all items and the version of the listing.
 
         Raises
@@ -73,25 +81,27 @@
         """
         ...
 
-    async def changes(self, after: int, wait_s: float) -> tuple[list[StoredItem], int]:
+    async def changes(
+        self, after: StoreVersion, wait_s: float
+    ) -> tuple[list[VersionedItem], StoreVersion]:
         """Wait for changes after a version.
 
         Parameters
         ----------
-        after : int
+        after : StoreVersion
             Version that the caller has.
         wait_s : float
             Longest time to wait, in seconds.
 
         Returns
         -------
-        tuple of (list of StoredItem, int)
+        tuple of (list of VersionedItem, StoreVersion)
             The changed items, none if the time is over, and the version that they lead to.
 
         Raises
         ------
         ChangesLostError
-            If the store no longer holds the changes after this version.
+            If the store no longer holds the changes after this version, or is in a later era.
         PlatformError
             If the call fails.
         """
@@ -118,6 +128,8 @@
         Seeded random source.
     first_start : bool
         Whether the whole fleet starts for the first time.
+    order : DocumentOrder, optional
+        Order of the documents' writers, which holds beyond a restore of the store.
 
     Attributes
     ----------
@@ -136,9 +148,10 @@
         feed: ChangeFeed,
         pool: ConnectionPool,
         counters: Counters,
-        on_changed: Callable[[list[StoredItem], float], None],
+        on_changed: Callable[[list[VersionedItem], float], None],
         rng: random.Random,
         first_start: bool = False,
+        order: DocumentOrder | None = None,
     ) -> None:
         self._own = own
         self._feed = feed
@@ -152,16 +165,22 @@
         self._listed_at = float("-inf")
         self._changed_at = float("-inf")
         self._fetching = False
+        self._kept_fetched_at = float("-inf")
+        self._release_timer: asyncio.TimerHandle | None = None
         self._needs_listing = True
         self._keep_missing_until = float("-inf")
         self._reading = False
         self._tasks: set[asyncio.Task[None]] = set()
-        self.cache = StoreCache()
+        self.cache = StoreCache(order, self._loop.time)
         self.confirmed_at = float("-inf")
         self.peers: Peers | None = None
 
     def on_peer_changes(
-        self, after: int, items: Sequence[StoredItem], version: int, peer: Peer
+        self,
+        after: StoreVersion,
+        items: Sequence[VersionedItem],
+        version: StoreVersion,
+        peer: Peer,
     ) -> None:
         """Apply changes that a peer sent, and pass them on.
 
@@ -169,27 +188,29 @@
 
         Parameters
         ----------
-        after : int
+        after : StoreVersion
             Version before the changes.
-        items : sequence of StoredItem
+        items : sequence of VersionedItem
             The changed items.
-        version : int
+        version : StoreVersion
             Version after the changes.
         peer : Peer
             The daemon that sent them.
         """
         known_version = self.cache.version
+        if self._is_of_earlier_era(version, "peer " + peer.name):
+            return
         peer.version = max(peer.version, version)
         changed = self.cache.on_changes(after, items, version)
         if changed is None:
             self.on_newer_peer(peer)
             return
-        self._apply(changed, "peer " + peer.name)
+        self._apply(changed, "peer " + peer.name, known_version)
         if self.cache.version > known_version and self.peers is not None:
             self.peers.forward_changes(after, items, version)
 
     def on_newer_peer(self, peer: Peer) -> None:
-        """Fetch what a peer with a later version has, unless a fetch is running."""
+        """Fetch what a peer has that this daemon lacks, unless a fetch is running."""
         if self._fetching:
             return
         self._fetching = True
@@ -204,8 +225,8 @@
         """
         if at <= self.confirmed_at:
             return
-        self._detect_outage_end()
         advance_s = at - self.confirmed_at
+        self._detect_outage_end()
         self.confirmed_at = at
         self._publish()
         if self.peers is not None and advance_s > MIN_ADVANCE_S:
@@ -221,18 +242,25 @@
 
     async def _fetch_missing(self, peer: Peer) -> None:
         try:
-            if self.cache.version:
+            if self.cache.version != NO_VERSION:
                 await asyncio.sleep(CHANGES_WAIT_S)
             if peer.version > self.cache.version:
-                await self._fetch_from_peer(peer)
+                await self._fetch_from_peer(peer, self.cache.version)
+            elif self._lacks_kept_items(peer):
+                self._kept_fetched_at = self._loop.time()
+                await self._fetch_from_peer(peer, NO_VERSION)
         finally:
             self._fetching = False
 
-    async def _fetch_from_peer(self, peer: Peer) -> None:
+    def _lacks_kept_items(self, peer: Peer) -> bool:
+        is_due = self._loop.time() - self._kept_fetched_at > KEPT_FETCH_INTERVAL_S
+        return is_due and peer.is_ahead_of(self.cache.version, self.cache.kept_count)
+
+    async def _fetch_from_peer(self, peer: Peer, after: StoreVersion) -> None:
         known_version = self.cache.version
         self._counters.peer_fetches += 1
         try:
-            path = f"{COPY_PATH}?after={known_version}"
+            path = f"{COPY_PATH}?after={after}"
             answer = await self._pool.get(peer.control, path, PEER_FETCH_TIMEOUT_S)
             copy = decode_copy(answer.body)
         except (TimeoutError, ConnectError, AnswerError, ValueError) as error:
@@ -246,17 +274,22 @@
             self.peers.push(to_relays=False)
 
     def _merge(self, copy: CacheCopy, source: str) -> None:
+        before = self.cache.version
+        if self._is_of_earlier_era(copy.version, source):
+            return
         if copy.after is None:
-            self._apply(self.cache.on_listing(Listing(copy.items, copy.version)), source)
+            changed = self.cache.on_listing(VersionedListing(copy.items, copy.version))
         else:
-            self._apply(self.cache.on_changes(copy.after, copy.items, copy.version) or [], source)
+            changed = self.cache.on_changes(copy.after, copy.items, copy.version) or []
+        self._apply(changed, source, before)
 
-    def copy_after(self, version: int) -> CacheCopy:
+    def copy_after(self, version: StoreVersion) -> CacheCopy:
         """Return the changes after a version, or a whole copy if some of them are not known."""
         cache = self.cache
-        changes = cache.changes_after(version) if version else None
+        changes = cache.changes_after(version) if version != NO_VERSION else None
         if changes is None:
-            return CacheCopy(cache.items(), cache.version)
+            kept_deleted = tuple(item for item in cache.kept_items() if item.value is None)
+            return CacheCopy(cache.items() + kept_deleted, cache.version)
         return CacheCopy(changes, cache.version, version)
 
     async def run(self) -> None:
@@ -307,14 +340,17 @@
             items, version = await self._feed.changes(after, WATCH_TIMEOUT_S)
         except ChangesLostError as error:
             self._counters.store_histories_lost += 1
-            _log.info("history lost", after=after, reason=str(error))
+            _log.info("history lost", after=str(after), reason=str(error))
             self._needs_listing = True
             return
+        if self._is_of_earlier_era(version, "store"):
+            return
         self._on_store_reached()
         if items:
             self._changed_at = self._loop.time()
+        before = self.cache.version
         changed = self.cache.on_changes(after, items, version) or []
-        self._apply(changed, "store")
+        self._apply(changed, "store", before)
         if items and self.peers is not None:
             self.peers.send_changes(after, items, version)
 
@@ -325,16 +361,41 @@
         self._listed_at = self._loop.time()
         requested_at = self._loop.time()
         listing = await self._feed.list_all()
+        if self._is_of_earlier_era(listing.version, "listing"):
+            raise PlatformError("the listing is of an earlier era", step="list")
         self._on_store_reached(requested_at)
         if listing.version < self.cache.version:
             self._counters.older_listings += 1
-            _log.warning("older listing ignored", version=listing.version, known=self.cache.version)
+            _log.info(
+                "older listing ignored",
+                version=str(listing.version),
+                known=str(self.cache.version),
+            )
+        before = self.cache.version
         changed = self.cache.on_listing(listing)
         self._needs_listing = False
-        self._apply(changed, "listing")
-        if changed and self.peers is not None:
+        self._apply(changed, "listing", before)
+        if self.peers is None:
+            return
+        if self.cache.version.era > before.era and before != NO_VERSION:
+            items = {item.key: item for item in [*changed, *self.cache.kept_items()]}
+            self.peers.send_changes(before, items.values(), self.cache.version)
+        elif changed:
             self.peers.announce()
 
+    def _is_of_earlier_era(self, version: StoreVersion, source: str) -> bool:
+        """Return whether a version is of an era before the known one, and count it."""
+        if version.era >= self.cache.version.era:
+            return False
+        self._counters.earlier_eras_refused += 1
+        _log.info(
+            "earlier era refused",
+            source=source,
+            version=str(version),
+            known=str(self.cache.version),
+        )
+        return True
+
     def _on_store_reached(self, at: float | None = None) -> None:
         if not self._own.reaches_store or self.confirmed_at < 0:
             _log.info("store reached")
@@ -352,8 +413,12 @@
         self._own = attrs.evolve(self._own, reaches_store=reaches_store)
         self._publish()
 
-    def _apply(self, changed: list[StoredItem], source: str) -> None:
+    def _apply(self, changed: list[VersionedItem], source: str, before: StoreVersion) -> None:
+        """Pass on what a merge has changed, which began at the version `before`."""
         self._publish()
+        if self.cache.version.era > before.era and before != NO_VERSION:
+            self._on_restored(changed, source, before)
+        self._schedule_release()
         if not changed:
             return
         self._detect_outage_end()
@@ -362,12 +427,36 @@
             source=source,
             keys=[item.key for item in changed[:8]],
             count=len(changed),
-            version=self.cache.version,
+            version=str(self.cache.version),
         )
         self._on_changed(changed, self._keep_missing_until)
 
+    def _on_restored(self, changed: list[VersionedItem], source: str, before: StoreVersion) -> None:
+        """Keep missing server entries for a while, as their servers have to write them again."""
+        self._counters.store_restores += 1
+        self._keep_missing_until = self._loop.time() + ENTRY_RETURN_GRACE_S
+        _log.warning(
+            "store restored",
+            source=source,
+            before=str(before),
+            version=str(self.cache.version),
+            changed=len(changed),
+            missing=sum(item.value is None and item.forgotten for item in changed),
+            kept=self.cache.kept_count,
+        )
+
+    def _schedule_release(self) -> None:
+        if self._release_timer is None and self.cache.overruled_count:
+            self._release_timer = self._loop.call_later(REWRITE_S, self._release_overruled)
+
+    def _release_overruled(self) -> None:
+        self._release_timer = None
+        released = self.cache.release_overruled()
+        self._apply(released, "earlier number that stands", self.cache.version)
+
     def _publish(self) -> None:
         if self.peers is not None:
             self.peers.own.version = self.cache.version
+            self.peers.own.kept = self.cache.kept_count
             self.peers.own.confirmed_at = self.confirmed_at
             self.peers.own.reaches_store = self._own.reaches_store
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -20,6 +20,7 @@
 from sycamorebay.protocol.load_rows import LoadMessage, LoadRow, encode_loads, id_hash
 from sycamorebay.protocol.peer_messages import Heartbeat, Leave, decode_message, encode_message
 from sycamorebay.state.server_entries import ServerEntry
+from sycamorebay.state.store_versions import NO_VERSION
 from sycamorebay.transport.gateway.counters import Counters
 from sycamorebay.transport.gateway.peer import OwnState, PeerCallbacks, PeerEvents
 from sycamorebay.transport.gateway.peers import HEARTBEATS_PER_S, Peers
@@ -85,7 +86,7 @@
         is_relay=True,
         asks=False,
         primary=False,
-        version=0,
+        version=NO_VERSION,
         confirmed_age_s=1.0,
         reaches_store=True,
         interval_s=0.25,
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -10,6 +10,7 @@
 
 from sycamorebay.errors import PlatformError
 from sycamorebay.platform.store import PlatformStore
+from sycamorebay.state.store_versions import StoreVersion
 from sycamorebay.transport.gateway.client import ClientAnswer
 from sycamorebay.transport.gateway.counters import Counters
 from tests.support import asynchronous
@@ -45,7 +46,7 @@
     async def test_an_answer_without_its_fields_is_a_failed_call(self):
         for body in ({}, {"items": 7, "events": 7, "as_of": 1}, {"items": [], "events": []}, [], 7):
             client, counters = store(body)
-            for call in (client.list_all(), client.changes(1, 0.1)):
+            for call in (client.list_all(), client.changes(StoreVersion(0, 1), 0.1)):
                 with self.assertRaises(PlatformError):
                     await call
             self.assertEqual(2, counters.store_failures)
--- a/tests/test_store_cache.py
+++ b/tests/test_store_cache.py
@@ -19,23 +19,36 @@
 from sycamorebay.coordination.store_cache import MAX_TOMBSTONES, StoreCache
 from sycamorebay.state.routing import Route, RouteKind, WeightedService
 from sycamorebay.state.server_entries import ServerEntries, ServerEntry
-from sycamorebay.state.stored import Listing, StoredItem
+from sycamorebay.state.store_versions import StoreVersion, VersionedItem, VersionedListing
+
+
+def at(revision: int, era: int = 1) -> StoreVersion:
+    return StoreVersion(era, revision)
+
+
+def item(key: str, value: bytes | None, revision: int, era: int = 1) -> VersionedItem:
+    return VersionedItem(key, value, at(revision, era))
+
+
+def listing(items: tuple[VersionedItem, ...], revision: int, era: int = 1) -> VersionedListing:
+    return VersionedListing(items, at(revision, era))
+
 
 CHANGES = st.lists(st.tuples(st.sampled_from("abcd"), st.booleans()), min_size=1, max_size=12).map(
     lambda drawn: [
-        StoredItem(key, b"%d" % version if kept else None, version)
+        item(key, b"%d" % version if kept else None, version)
         for version, (key, kept) in enumerate(drawn, 1)
     ]
 )
 
 
-def expected_items(changes: list[StoredItem]) -> dict[str, bytes | None]:
+def expected_items(changes: list[VersionedItem]) -> dict[str, bytes | None]:
     latest = {change.key: change for change in changes}
-    return {key: item.value for key, item in latest.items() if item.value is not None}
+    return {key: last.value for key, last in latest.items() if last.value is not None}
 
 
 def cached_items(cache: StoreCache) -> dict[str, bytes | None]:
-    return {item.key: item.value for item in cache.items()}
+    return {found.key: found.value for found in cache.items()}
 
 
 class StoreCacheTest(testtools.TestCase):
@@ -43,63 +56,63 @@
     def test_changes_in_any_order_give_the_same_items(self, changes, rng):
         cache = StoreCache()
         for change in rng.sample(changes, len(changes)):
-            cache.on_changes(0, [change], 0)
+            cache.on_changes(at(0), [change], at(0))
         self.assertEqual(expected_items(changes), cached_items(cache))
 
     @given(CHANGES, st.data())
     def test_an_older_listing_never_restores_an_item(self, changes, data):
         cache = StoreCache()
-        cache.on_changes(0, changes, len(changes))
+        cache.on_changes(at(0), changes, at(len(changes)))
         listed = data.draw(st.integers(0, len(changes)))
         latest = {change.key: change for change in changes[:listed]}
-        items = tuple(item for item in latest.values() if item.value is not None)
-        self.assertEqual([], cache.on_listing(Listing(items, listed)))
+        items = tuple(last for last in latest.values() if last.value is not None)
+        self.assertEqual([], cache.on_listing(listing(items, listed)))
         self.assertEqual(expected_items(changes), cached_items(cache))
 
     def test_a_listing_deletes_items_that_it_lacks(self):
         cache = StoreCache()
-        cache.on_changes(0, [StoredItem("a", b"1", 1), StoredItem("b", b"2", 2)], 2)
-        changed = cache.on_listing(Listing((StoredItem("b", b"2", 2),), 5))
-        self.assertEqual([StoredItem("a", None, 5)], changed)
+        cache.on_changes(at(0), [item("a", b"1", 1), item("b", b"2", 2)], at(2))
+        changed = cache.on_listing(listing((item("b", b"2", 2),), 5))
+        self.assertEqual([item("a", None, 5)], changed)
 
     def test_an_item_later_than_its_listing_is_kept(self):
         cache = StoreCache()
-        cache.on_changes(0, [StoredItem("late", b"x", 9)], 9)
-        self.assertEqual([], cache.on_listing(Listing((), 7)))
+        cache.on_changes(at(0), [item("late", b"x", 9)], at(9))
+        self.assertEqual([], cache.on_listing(listing((), 7)))
         self.assertEqual({"late": b"x"}, cached_items(cache))
 
     def test_a_dropped_tombstone_does_not_let_an_older_copy_restore_its_key(self):
         cache = StoreCache()
-        cache.on_changes(0, [StoredItem("gone", b"1", 1)], 1)
-        cache.on_changes(1, [StoredItem("gone", None, 2)], 2)
+        cache.on_changes(at(0), [item("gone", b"1", 1)], at(1))
+        cache.on_changes(at(1), [item("gone", None, 2)], at(2))
         last = MAX_TOMBSTONES + 3
-        cache.on_changes(2, [StoredItem(f"k{v}", None, v) for v in range(3, last)], last)
-        self.assertEqual([], cache.on_listing(Listing((StoredItem("gone", b"1", 1),), 1)))
+        cache.on_changes(at(2), [item(f"k{v}", None, v) for v in range(3, last)], at(last))
+        self.assertEqual([], cache.on_listing(listing((item("gone", b"1", 1),), 1)))
         self.assertEqual({}, cached_items(cache))
-        self.assertIsNone(cache.changes_after(1))
+        self.assertIsNone(cache.changes_after(at(1)))
 
     def test_live_items_do_not_displace_tombstones(self):
         cache = StoreCache()
-        cache.on_changes(0, [StoredItem("gone", b"1", 1), StoredItem("gone", None, 2)], 2)
+        cache.on_changes(at(0), [item("gone", b"1", 1), item("gone", None, 2)], at(2))
         last = 2 * MAX_TOMBSTONES
-        cache.on_changes(2, [StoredItem(f"k{v}", b"1", v) for v in range(3, last)], last)
-        self.assertIn(StoredItem("gone", None, 2), cache.changes_after(1) or ())
+        cache.on_changes(at(2), [item(f"k{v}", b"1", v) for v in range(3, last)], at(last))
+        self.assertIn(item("gone", None, 2), cache.changes_after(at(1)) or ())
 
     @given(CHANGES, st.integers(0, 12))
     def test_the_changes_after_a_version_bring_an_older_cache_up_to_date(self, changes, split):
         source, older = StoreCache(), StoreCache()
-        source.on_changes(0, changes, len(changes))
+        source.on_changes(at(0), changes, at(len(changes)))
         known = min(split, len(changes))
-        older.on_changes(0, changes[:known], known)
-        older.on_changes(known, source.changes_after(known) or (), source.version)
+        older.on_changes(at(0), changes[:known], at(known))
+        older.on_changes(at(known), source.changes_after(at(known)) or (), source.version)
         self.assertEqual(cached_items(source), cached_items(older))
         self.assertEqual(source.version, older.version)
 
     def test_missing_changes_are_reported(self):
         cache = StoreCache()
-        cache.on_changes(0, [], 3)
-        self.assertIsNone(cache.on_changes(4, [StoredItem("a", b"1", 5)], 5))
-        self.assertEqual(3, cache.version)
+        cache.on_changes(at(0), [], at(3))
+        self.assertIsNone(cache.on_changes(at(4), [item("a", b"1", 5)], at(5)))
+        self.assertEqual(at(3), cache.version)
 
 
 class ReadersTest(testtools.TestCase):
--- a/tests/test_store_sync.py
+++ b/tests/test_store_sync.py
@@ -10,7 +10,7 @@
 from sycamorebay.coordination.fleet_view import Contact
 from sycamorebay.coordination.readers import Candidate
 from sycamorebay.protocol.store_items import CacheCopy, encode_copy
-from sycamorebay.state.stored import StoredItem
+from sycamorebay.state.store_versions import StoreVersion, VersionedItem
 from sycamorebay.transport.gateway.client import ClientAnswer
 from sycamorebay.transport.gateway.counters import Counters
 from sycamorebay.transport.gateway.peer import Peer
@@ -21,6 +21,14 @@
 PEER = Contact("peer", ("10.0.0.2", 7000), "a")
 
 
+def at(revision: int, era: int = 1) -> StoreVersion:
+    return StoreVersion(era, revision)
+
+
+def item(key: str, value: bytes | None, revision: int, era: int = 1) -> VersionedItem:
+    return VersionedItem(key, value, at(revision, era))
+
+
 class CopyPool:
     """Serves one copy of the store to every request."""
 
@@ -33,7 +41,7 @@
         return ClientAnswer(200, [], encode_copy(self.copy))
 
 
-def create(copy: CacheCopy) -> tuple[StoreSync, CopyPool, list[StoredItem]]:
+def create(copy: CacheCopy) -> tuple[StoreSync, CopyPool, list[VersionedItem]]:
     pool, changed = CopyPool(copy), []
     sync = StoreSync(
         Candidate(OWN, True),
@@ -46,37 +54,37 @@
     return sync, pool, changed
 
 
-def peer(version: int) -> Peer:
-    return Peer(PEER, "10.0.0.2:80", 1, True, 0.0, version=version)
+def peer(revision: int, era: int = 1) -> Peer:
+    return Peer(PEER, "10.0.0.2:80", 1, True, 0.0, version=at(revision, era))
 
 
 class MissingChangesTest(testtools.TestCase):
     @asynchronous
     async def test_changes_after_a_gap_are_fetched_without_waiting_for_a_heartbeat(self):
-        missing = tuple(StoredItem(f"k{version}", b"v", version) for version in (5, 6, 7))
-        sync, pool, _ = create(CacheCopy(missing, 7, 4))
-        sync.on_peer_changes(0, [StoredItem("a", b"v", 4)], 4, peer(4))
+        missing = tuple(item(f"k{version}", b"v", version) for version in (5, 6, 7))
+        sync, pool, _ = create(CacheCopy(missing, at(7), at(4)))
+        sync.on_peer_changes(at(0), [item("a", b"v", 4)], at(4), peer(4))
         # The peer's last heartbeat told of version 4; its message shows that it has 7.
-        sync.on_peer_changes(6, [missing[-1]], 7, peer(4))
+        sync.on_peer_changes(at(6), [missing[-1]], at(7), peer(4))
         await asyncio.sleep(4 * CHANGES_WAIT_S)
-        self.assertEqual(["/changes?after=4"], pool.paths)
-        self.assertEqual(7, sync.cache.version)
+        self.assertEqual(["/changes?after=1.4"], pool.paths)
+        self.assertEqual(at(7), sync.cache.version)
 
     @asynchronous
     async def test_a_heartbeat_ahead_of_its_changes_causes_no_fetch(self):
-        sync, pool, _ = create(CacheCopy((), 5, 4))
-        sync.on_peer_changes(0, [StoredItem("a", b"v", 4)], 4, peer(4))
+        sync, pool, _ = create(CacheCopy((), at(5), at(4)))
+        sync.on_peer_changes(at(0), [item("a", b"v", 4)], at(4), peer(4))
         sync.on_newer_peer(peer(5))
-        sync.on_peer_changes(4, [StoredItem("b", b"v", 5)], 5, peer(5))
+        sync.on_peer_changes(at(4), [item("b", b"v", 5)], at(5), peer(5))
         await asyncio.sleep(4 * CHANGES_WAIT_S)
         self.assertEqual([], pool.paths)
 
     @asynchronous
     async def test_an_older_copy_of_a_peer_brings_back_nothing_that_was_removed(self):
-        sync, _, changed = create(CacheCopy((StoredItem("gone", b"v", 1),), 3))
-        sync.on_peer_changes(0, [StoredItem("gone", b"v", 1)], 1, peer(1))
-        sync.on_peer_changes(1, [StoredItem("gone", None, 4)], 4, peer(4))
+        sync, _, changed = create(CacheCopy((item("gone", b"v", 1),), at(3)))
+        sync.on_peer_changes(at(0), [item("gone", b"v", 1)], at(1), peer(1))
+        sync.on_peer_changes(at(1), [item("gone", None, 4)], at(4), peer(4))
         changed.clear()
-        await sync._fetch_from_peer(peer(5))
-        self.assertEqual(([], 4), (changed, sync.cache.version))
+        await sync._fetch_from_peer(peer(5), sync.cache.version)
+        self.assertEqual(([], at(4)), (changed, sync.cache.version))
         self.assertEqual((), sync.cache.items())
