Let no repeated confirmation end an outage of the store

Cause: a heartbeat whose transit was shorter than the last one's states the same confirmation as less than a millisecond later, which was taken for an answer of the store. An advance below MIN_ADVANCE_S, by which such repeats are told apart already, ends no outage now. The test failed before (keep_missing_until was set).

--- a/src/sycamorebay/transport/gateway/store_sync.py
+++ b/src/sycamorebay/transport/gateway/store_sync.py
@@ -226,7 +226,9 @@
         if at <= self.confirmed_at:
             return
         advance_s = at - self.confirmed_at
-        self._detect_outage_end()
+        # The same confirmation by another way is no news of the store.
+        if advance_s > MIN_ADVANCE_S:
+            self._detect_outage_end()
         self.confirmed_at = at
         self._publish()
         if self.peers is not None and advance_s > MIN_ADVANCE_S:
--- a/tests/test_store_sync.py
+++ b/tests/test_store_sync.py
@@ -9,12 +9,17 @@
 
 from sycamorebay.coordination.fleet_view import Contact
 from sycamorebay.coordination.readers import Candidate
+from sycamorebay.errors import PlatformError
 from sycamorebay.protocol.store_items import CacheCopy, encode_copy
 from sycamorebay.state.store_versions import StoreVersion, VersionedItem
 from sycamorebay.transport.gateway.client import ClientAnswer
 from sycamorebay.transport.gateway.counters import Counters
 from sycamorebay.transport.gateway.peer import Peer
-from sycamorebay.transport.gateway.store_sync import CHANGES_WAIT_S, StoreSync
+from sycamorebay.transport.gateway.store_sync import (
+    CHANGES_WAIT_S,
+    OUTAGE_THRESHOLD_S,
+    StoreSync,
+)
 from tests.support import asynchronous
 
 OWN = Contact("own", ("10.0.0.1", 7000), "a")
@@ -58,6 +63,19 @@
     return Peer(PEER, "10.0.0.2:80", 1, True, 0.0, version=at(revision, era))
 
 
+class OutageEndTest(testtools.TestCase):
+    @asynchronous
+    async def test_a_confirmation_that_took_another_way_does_not_end_an_outage(self):
+        sync, _, _ = create(CacheCopy((), at(1)))
+        now = asyncio.get_running_loop().time()
+        sync.on_confirmed(now - 2 * OUTAGE_THRESHOLD_S)
+        sync._on_store_failed(PlatformError("reset", step="watch", peer="store"))
+        sync.on_confirmed(now - 2 * OUTAGE_THRESHOLD_S + 0.001)
+        self.assertLess(sync._keep_missing_until, now)
+        sync.on_confirmed(now)
+        self.assertGreater(sync._keep_missing_until, now)
+
+
 class MissingChangesTest(testtools.TestCase):
     @asynchronous
     async def test_changes_after_a_gap_are_fetched_without_waiting_for_a_heartbeat(self):
