Doubt an era by itself, without taking the store for unreachable

A store answer that skipped an era counted as a failed call: the reader stood back for 3 s, during which others read. Changes with such an answer lead to a listing now, and a listing is begun anew, so the second answer that confirms or refutes the era comes at once.

--- a/src/sycamorebay/platform/store.py
+++ b/src/sycamorebay/platform/store.py
@@ -35,6 +35,10 @@
 _log = log.get_logger("store")
 
 
+class _EraDoubtedError(PlatformError):
+    """The answer skips an era, so that only another answer tells whether to believe it."""
+
+
 @attrs.frozen
 class _Answer:
     """A decoded answer of the store, and the era that it belongs to."""
@@ -72,8 +76,11 @@
             restored again and again meanwhile.
         """
         for _ in range(_MAX_LISTING_STARTS):
-            if (listing := await self._list_in_one_era()) is not None:
-                return listing
+            try:
+                if (listing := await self._list_in_one_era()) is not None:
+                    return listing
+            except _EraDoubtedError:
+                continue
             _log.warning("listing begun anew", reason="the store was restored meanwhile")
         raise self._count_failure("list", "the store was restored during the listing")
 
@@ -124,7 +131,10 @@
         """
         self._believed.on_known(after.era)
         path = f"/kv-watch?prefix=&after={after.revision}&wait_ms={int(wait_s * 1000)}"
-        answer = await self._call("watch", path, wait_s + WATCH_SLACK_S)
+        try:
+            answer = await self._call("watch", path, wait_s + WATCH_SLACK_S)
+        except _EraDoubtedError as error:
+            raise ChangesLostError(str(error), step="watch", peer=self._address) from error
         if answer.era > after.era:
             raise ChangesLostError(
                 f"the store is in era {answer.era}", step="watch", peer=self._address
@@ -189,7 +199,7 @@
             else:
                 body = json.dumps(document).encode()
                 answer = await self._pool.post(self._address, path, body, timeout_s)
-            era = self._era(answer)
+            era = self._era(step, answer)
             if answer.status == 410:
                 raise ChangesLostError(
                     "the store no longer holds the requested changes", step=step, peer=self._address
@@ -200,12 +210,12 @@
         except (TimeoutError, ConnectError, AnswerError, ValueError) as error:
             raise self._count_failure(step, str(error) or type(error).__name__) from error
 
-    def _era(self, answer: ClientAnswer) -> int:
+    def _era(self, step: str, answer: ClientAnswer) -> int:
         """Return the era that an answer belongs to.
 
         Raises
         ------
-        DoubtfulEraError
+        _EraDoubtedError
             If it skips an era, and the answer before did not.
         """
         stated = _stated_era(answer.headers)
@@ -217,7 +227,7 @@
         except DoubtfulEraError as error:
             self._counters.eras_doubted += 1
             _log.warning("era doubted", reason=str(error))
-            raise
+            raise _EraDoubtedError(str(error), step=step, peer=self._address) from error
 
     def _count_failure(self, step: str, reason: str) -> PlatformError:
         self._counters.store_failures += 1
--- a/standins/kv.py
+++ b/standins/kv.py
@@ -50,6 +50,8 @@
         Whether the time of leases stops while the store is silent; otherwise they expire.
     era_header : str or None
         Sent in place of the era; an empty one leaves the header out. None sends the era.
+    invented_era : str
+        Sent in place of the era in the next answer only, unless it is empty.
     """
 
     refuse_status: int = 0
@@ -62,6 +64,7 @@
     refused_callers: set[str] = attrs.field(factory=set)
     leases_pause: bool = False
     era_header: str | None = None
+    invented_era: str = ""
 
 
 class KvStore:
@@ -184,8 +187,9 @@
             pass
         finally:
             self.platform.watchers.discard(queue)
-        if era != self.era:
-            reset_connection(request)
+        if era != self.era and request.transport is not None:
+            # As in `_drop_answers`, so that no traceback is printed.
+            request.transport.abort()
         version = int(self.platform.header()["revision"])
         events = self._events(prefix, after)
         await asyncio.sleep(self.faults.late_s)
@@ -235,7 +239,8 @@
         return answer
 
     async def _name_era(self, request: web.Request, response: web.StreamResponse) -> None:
-        header = self.faults.era_header
+        header = self.faults.invented_era or self.faults.era_header
+        self.faults.invented_era = ""
         if header != "":
             response.headers[_ERA] = str(self.era) if header is None else header
 
