Doubt a first answer's era as well

A gateway that knows no era yet takes it for 0, so a first era above 1 needs a second answer, at the cost of one more listing at the start.

--- a/src/sycamorebay/coordination/eras.py
+++ b/src/sycamorebay/coordination/eras.py
@@ -19,17 +19,17 @@
 
     Attributes
     ----------
-    era : int or None
-        The era that is believed; None before the first answer.
+    era : int
+        The era that is believed; 0 before the first answer.
     """
 
     def __init__(self) -> None:
-        self.era: int | None = None
+        self.era = 0
         self._doubted: int | None = None
 
     def on_known(self, era: int) -> None:
         """Record an era that this daemon has learnt otherwise, as from a peer."""
-        self.era = era if self.era is None else max(self.era, era)
+        self.era = max(self.era, era)
 
     def on_answer(self, stated: int | None) -> int:
         """Record an answer and return the era that it belongs to.
@@ -49,10 +49,10 @@
             If the era skips others and the answer before did not state it as well.
         """
         if stated is None:
-            return self.era or 0
+            return self.era
         doubted, self._doubted = self._doubted, None
-        if self.era is not None and stated > self.era + MAX_CREDIBLE_STEP and stated != doubted:
+        if stated > self.era + MAX_CREDIBLE_STEP and stated != doubted:
             self._doubted = stated
             raise DoubtfulEraError(f"the answer is of era {stated}, the known one is {self.era}")
-        self.era = stated if self.era is None else max(self.era, stated)
+        self.era = max(self.era, stated)
         return stated
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -180,6 +180,10 @@
 class EraTest(testtools.TestCase):
     def test_an_answer_that_skips_eras_is_believed_only_if_the_next_one_agrees(self):
         believed = BelievedEra()
+        with self.assertRaises(DoubtfulEraError):
+            believed.on_answer(700)
+        with self.assertRaises(DoubtfulEraError):
+            believed.on_answer(3)
         self.assertEqual(3, believed.on_answer(3))
         with self.assertRaises(DoubtfulEraError):
             believed.on_answer(900)
@@ -191,12 +195,12 @@
     def test_an_answer_without_an_era_belongs_to_the_known_one(self):
         believed = BelievedEra()
         self.assertEqual(0, believed.on_answer(None))
-        believed.on_answer(5)
+        believed.on_known(5)
         self.assertEqual(5, believed.on_answer(None))
 
     def test_an_earlier_era_is_never_believed(self):
         believed = BelievedEra()
-        believed.on_answer(5)
+        believed.on_known(5)
         self.assertEqual(4, believed.on_answer(4))
         self.assertEqual(5, believed.era)
 
