--- a/bench/emulator/fleet.py
+++ b/bench/emulator/fleet.py
@@ -264,6 +264,7 @@
         self.loss = loss
         self.store = EmulatedStore()
         self.traffic = Traffic()
+        self.fetched_bytes = 0
         self.is_cut: Callable[[EmulatedGateway, EmulatedGateway], bool] = lambda _a, _b: False
         self.store_is_cut: Callable[[EmulatedGateway], bool] = lambda _: False
         self.gateways: list[EmulatedGateway] = []
@@ -331,6 +332,7 @@
             await asyncio.sleep(0.4)
             raise ConnectError("connecting took too long")
         data = encode_copy(source.sync.copy_after(parse_version(path.rpartition("=")[2])))
+        self.fetched_bytes += len(data)
         await asyncio.sleep(2 * CROSS_DOMAIN_S)
         wait_s = max(0.0, source.link_free_at - asyncio.get_running_loop().time())
         await asyncio.sleep(max(0.0, wait_s - LINK_QUEUE_S / 2))
@@ -452,6 +454,8 @@
     if scenario == "kill-half":
         for gateway in fleet.rng.sample(fleet.gateways, gateways // 2):
             gateway.kill()
+    if scenario == "restore":
+        return await _play_restore(fleet)
     count = 1400 if scenario == "many-routes" else 1
     version = fleet.store.put("config", routes_document(count))
     await asyncio.sleep(10.0)
@@ -478,6 +482,54 @@
     }
 
 
+async def restore(fleet: EmulatedFleet, away_s: float = 2.0) -> float:
+    """Let the store come back from a copy that lacks a configuration and some servers.
+
+    The store's count of listings begins anew with its return.
+
+    Returns
+    -------
+    float
+        Time from the store's return until all gateways were in its new era, in seconds; infinite
+        if some are not after 5 s.
+    """
+    loop, store = asyncio.get_running_loop(), fleet.store
+    store.put("config", b"1 first")
+    await asyncio.sleep(1.0)
+    copy = store.copy()
+    store.put("config", b"2 second")
+    for number in range(8):
+        store.put(f"servers/later-{number}", b"{}")
+    await asyncio.sleep(1.0)
+    store.down = True
+    await asyncio.sleep(away_s)
+    store.down = False
+    store.restore(copy)
+    store.listings = 0
+    returned_at = loop.time()
+    while loop.time() < returned_at + 5.0:
+        if all(gateway.version.era == store.version.era for gateway in fleet.running()):
+            return loop.time() - returned_at
+        await asyncio.sleep(0.005)
+    return float("inf")
+
+
+async def _play_restore(fleet: EmulatedFleet) -> dict[str, Any]:
+    fetched = fleet.fetched_bytes
+    settled_s = await restore(fleet)
+    version = fleet.store.put("config", b"3 third")
+    await asyncio.sleep(3.0)
+    found = spread(fleet, version)
+    return {
+        "gateways": len(fleet.gateways),
+        "seconds until all were in the new era": round(settled_s, 3),
+        "listings since the return": fleet.store.listings,
+        "bytes of fetched copies": fleet.fetched_bytes - fetched,
+        "median, p99, worst age": [round(v, 4) for v in (found.median, found.p99, found.worst)],
+        "missing": found.missing,
+    }
+
+
 @click.command()
 @click.option("--gateways", default=312)
 @click.option("--domains", default=5)
@@ -485,7 +537,7 @@
 @click.option(
     "--scenario",
     default="calm",
-    type=click.Choice(["calm", "kill-readers", "kill-half", "many-routes"]),
+    type=click.Choice(["calm", "kill-readers", "kill-half", "many-routes", "restore"]),
 )
 def main(gateways: int, domains: int, seed: int, scenario: str) -> None:
     """Play a scenario in virtual time and print its figures."""
