Let the soak's store come back from older copies

A random fault takes a copy of the store, lets it go on for up to 4 s, cuts it off and brings it back from the copy; operator and servers write again what they had written. What callers see is checked as before: no older configuration, none late.

--- a/tests/gateway_soak/soak.py
+++ b/tests/gateway_soak/soak.py
@@ -8,6 +8,7 @@
 import signal
 import time
 from collections.abc import Awaitable, Callable, Iterator
+from typing import Any
 
 from standins.scripted import ReceivedRequest, Script, ScriptedServer, ServerConnection
 from standins.scripts import answer_malformed, run_and_reset, run_and_stay_silent, shed
@@ -36,6 +37,8 @@
 CRASH_PERIOD_S = 8.0
 CRASH_PREFIX = "/safe/crash-"
 CRASHED_S = 1.5
+# Probability with which the store comes back from a copy beside each other fault.
+RESTORE_PROBABILITY = 0.2
 
 
 class SoakRun:
@@ -59,6 +62,9 @@
         self._rng = random.Random(seed)
         # A source of its own keeps the other faults of a seed as they were.
         self._overload_rng = random.Random(f"overload {seed}")
+        self._restore_rng = random.Random(f"restore {seed}")
+        self._restoring = False
+        self._registrations_by_id: dict[str, dict[str, Any]] = {}
         self._start_counts = [0] * GATEWAYS
         self._busy = [False] * GATEWAYS
         self._next_id = 0
@@ -88,9 +94,14 @@
         self._crashes.append(task)
         await asyncio.sleep(CRASHED_S)
         await task
+        self.register(server)
+
+    def register(self, server: ScriptedServer) -> None:
+        """Register a new start of a server."""
         service = server.id.partition("-")[0]
-        registration = server.registration(service, seq=1)
+        registration: dict[str, Any] = server.registration(service, seq=1)
         registration["born"] = int(time.monotonic() * 1000)
+        self._registrations_by_id[server.id] = registration
         self._gateways.fleet.store.put(f"servers/{server.id}", registration)
 
     def faulty_script(self, service: str, script: Script) -> Script:
@@ -155,6 +166,8 @@
             running.append(asyncio.create_task(self._rng.choice(faults)()))
             if self._overload_rng.random() < OVERLOAD_PROBABILITY:
                 running.append(asyncio.create_task(self._overload_rng.choice(overloads)()))
+            if self._restore_rng.random() < RESTORE_PROBABILITY and not self._restoring:
+                running.append(asyncio.create_task(self._restore_store()))
             self._maybe_put_version()
             await asyncio.sleep(self._rng.uniform(0.2, 1.2))
         await asyncio.gather(*running)
@@ -168,9 +181,9 @@
     def put_version(self, number: int) -> None:
         """Write a configuration with a number that routes safe requests to the next service."""
         service = SERVICES[number % len(SERVICES)]
-        document = config(number, safe=route("safe", backend=service), unsafe=route("unsafe"))
-        document["services"]["yard"] = document["services"]["desk"]
-        self._gateways.fleet.store.put("op/config", document)
+        self._document = config(number, safe=route("safe", backend=service), unsafe=route("unsafe"))
+        self._document["services"]["yard"] = self._document["services"]["desk"]
+        self._gateways.fleet.store.put("op/config", self._document)
         self.history.versions.append(Version(number, service, time.monotonic()))
 
     def _maybe_put_version(self) -> None:
@@ -231,6 +244,29 @@
             await asyncio.sleep(self._rng.uniform(0.3, 2.5))
             setattr(faults, name, type(normal_value)())
 
+    async def _restore_store(self) -> None:
+        """Let the store come back from a copy of now, some seconds later."""
+        self._restoring = True
+        store = self._gateways.fleet.store
+        copy = store.platform.copy()
+        await asyncio.sleep(self._restore_rng.uniform(0.5, 4.0))
+        with self._recording_disturbance(-1, "store"):
+            store.faults.reset = True
+            await asyncio.sleep(self._restore_rng.uniform(0.1, 1.0))
+            store.restore(copy)
+            store.faults.reset = False
+            await asyncio.sleep(self._restore_rng.uniform(0.0, 0.3))
+            self._write_again()
+        self._restoring = False
+
+    def _write_again(self) -> None:
+        """Write what the operator and the servers had written before the store forgot it."""
+        store = self._gateways.fleet.store
+        store.put("op/config", self._document)
+        for server_id, registration in self._registrations_by_id.items():
+            registration["status"]["seq"] += 1
+            store.put(f"servers/{server_id}", registration)
+
     async def _fault_server(self) -> None:
         server = self._rng.choice(list(self._gateways.fleet.servers_by_id.values()))
         service = server.id.partition("-")[0]
@@ -277,6 +313,7 @@
             for number in range(SERVERS_PER_SERVICE):
                 server = await gateway_processes.fleet.server(f"{service}-{number}", service)
                 server.script = run.healthy_script(server)
+                run.register(server)
         for gateway in range(GATEWAYS):
             await gateway_processes.wait_until_ready(gateway)
         async with asyncio.TaskGroup() as tasks:
