Keep forgotten blocks for gateways that start before they are written again

Suspected cause, found by reading: a key of a blocked request that a restored store lacks went on at the gateways that knew it, but one that started before it was written again learnt of it from nobody, unless a peer had seen the crashes. The key is kept with its value now, as the configuration is, so that copies of peers carry it. And a key that was cleared, which the copy shows as blocked, is cleared again by the readers; a gateway that started alone would have blocked the request for ten minutes. Both tests failed before.

--- a/bench/emulator/fleet.py
+++ b/bench/emulator/fleet.py
@@ -71,7 +71,7 @@
         number = value.partition(b" ")[0]
         return (int(number), 0) if number.isdigit() else None
 
-    def is_permanent(self, key: str) -> bool:
+    def outlives_restore(self, key: str) -> bool:
         """Return whether a key holds the configuration."""
         return key == "config"
 
--- a/src/sycamorebay/coordination/forgotten.py
+++ b/src/sycamorebay/coordination/forgotten.py
@@ -23,8 +23,8 @@
         """Return the place of a document among those of its writer; None if it has no number."""
         ...
 
-    def is_permanent(self, key: str) -> bool:
-        """Return whether a key, once written, is never deleted by its writer."""
+    def outlives_restore(self, key: str) -> bool:
+        """Return whether a key still holds that a restored store lacks."""
         ...
 
 
@@ -35,7 +35,7 @@
         """Return None."""
         return None
 
-    def is_permanent(self, key: str) -> bool:
+    def outlives_restore(self, key: str) -> bool:
         """Return False."""
         return False
 
--- a/src/sycamorebay/coordination/quarantine.py
+++ b/src/sycamorebay/coordination/quarantine.py
@@ -185,6 +185,10 @@
             self._clear_at_by_fingerprint[fingerprint] = now + WRITE_RETRY_S
         return due
 
+    def clear_again(self, fingerprint: str) -> None:
+        """Let the key of a request be cleared that a restored store shows as not cleared."""
+        self._clear_at_by_fingerprint[fingerprint] = -inf
+
     def on_cleared(self, fingerprint: str) -> None:
         """Record that the key of a request was cleared in the store."""
         self._clear_at_by_fingerprint.pop(fingerprint, None)
@@ -242,14 +246,16 @@
         if len(record.crashed_at_by_server) < CRASHES_TO_BLOCK:
             record.blocked_until = now
 
-    def on_forgotten(self, now: float, fingerprint: str) -> None:
-        """Record that a restored store lacks the key of a request.
+    def on_forgotten(self, now: float, fingerprint: str, owned: bool) -> None:
+        """Record that a restored store lacks the key of a request, and who owns it.
 
         The block goes on to its end at every daemon, and its owner writes the key again; if the
         owner is gone, another one does a little later.
         """
-        record = self._by_fingerprint.get(fingerprint)
-        if record is None or not record.stored:
+        if fingerprint not in self._by_fingerprint:
+            self.on_stored(now, fingerprint, owned)
+        record = self._by_fingerprint[fingerprint]
+        if record.forgotten:
             return
         record.stored = False
         record.forgotten = True
--- a/src/sycamorebay/coordination/store_cache.py
+++ b/src/sycamorebay/coordination/store_cache.py
@@ -203,7 +203,7 @@
     def _missing(self, item: VersionedItem, version: StoreVersion) -> VersionedItem:
         """Return what holds for a known key that a listing of a version lacks."""
         restored = version.era > item.version.era
-        if self._order.is_permanent(item.key) and (restored or item.forgotten):
+        if self._order.outlives_restore(item.key) and (restored or item.forgotten):
             return attrs.evolve(item, version=version, forgotten=True)
         deleted = VersionedItem(item.key, None, version)
         return missing_in_restored(item, deleted) if restored else deleted
--- a/src/sycamorebay/platform/documents.py
+++ b/src/sycamorebay/platform/documents.py
@@ -62,9 +62,12 @@
             pass
         return None
 
-    def is_permanent(self, key: str) -> bool:
-        """Return whether a key, once written, is never deleted by its writer."""
-        return self.is_routing(key)
+    def outlives_restore(self, key: str) -> bool:
+        """Return whether a key still holds that a restored store lacks.
+
+        Servers write their entries again; those that do not are gone.
+        """
+        return self.is_routing(key) or self.blocked_fingerprint(key) is not None
 
     def read_block(self, value: bytes) -> Block:
         """Return the decoded value of the key of a blocked request.
--- a/src/sycamorebay/transport/gateway/crash_reports.py
+++ b/src/sycamorebay/transport/gateway/crash_reports.py
@@ -151,10 +151,16 @@
             cleared=block is None or block.cleared,
         )
 
-    def on_block_forgotten(self, fingerprint: str) -> None:
-        """Record that a restored store lacks the key of a blocked request."""
-        self._quarantine.on_forgotten(self._loop.time(), fingerprint)
-        _log.info("key of a blocked request forgotten", fingerprint=fingerprint)
+    def on_block_forgotten(self, fingerprint: str, block: Block) -> None:
+        """Record that a restored store lacks the key of a request, or shows it from before."""
+        now = self._loop.time()
+        if not block.cleared:
+            self._quarantine.on_forgotten(now, fingerprint, block.owner == self._owner)
+        elif self._fleet.reads_store:
+            self._quarantine.clear_again(fingerprint)
+        _log.info(
+            "key of a blocked request forgotten", fingerprint=fingerprint, cleared=block.cleared
+        )
 
     def on_crash(self, request: Fingerprints, entry: ServerEntry) -> None:
         """Record that a server's connection ended while it ran a request of this daemon."""
--- a/src/sycamorebay/transport/gateway/gateway.py
+++ b/src/sycamorebay/transport/gateway/gateway.py
@@ -260,10 +260,7 @@
 
     def _on_block(self, fingerprint: str, item: VersionedItem) -> None:
         if item.value is None:
-            if item.forgotten:
-                self._crashes.on_block_forgotten(fingerprint)
-            else:
-                self._crashes.on_block(fingerprint, None)
+            self._crashes.on_block(fingerprint, None)
             return
         try:
             block = self._documents.read_block(item.value)
@@ -271,7 +268,10 @@
             self._counters.undecodable += 1
             _log.warning("block could not be decoded", key=item.key, reason=str(error))
             return
-        self._crashes.on_block(fingerprint, block)
+        if item.forgotten:
+            self._crashes.on_block_forgotten(fingerprint, block)
+        else:
+            self._crashes.on_block(fingerprint, block)
 
     def _on_probed(self, server_id: str, failed: bool) -> None:
         self._peers.loads.on_load_changed(server_id, failed)
@@ -291,6 +291,8 @@
             )
             return
         current = self._forwarder.routing
+        if item.forgotten and current is not None and current.version >= routing.version:
+            return
         # After a restore of the store, an earlier number may be the operator's next.
         is_same_era = item.version.era == self._routing_era
         if current is not None and current.version >= routing.version and is_same_era:
--- a/src/sycamorebay/transport/gateway/store_sync.py
+++ b/src/sycamorebay/transport/gateway/store_sync.py
@@ -122,7 +122,8 @@
     counters : Counters
         Metrics of this daemon.
     on_changed : callable
-        Called with the changed items and the time until which servers that are missing from the
+        Called with the changed items, after a restore also with those that the store has forgotten
+        and that still hold, and the time until which servers that are missing from the
         store are to be kept, in seconds on the event loop's clock.
     rng : random.Random
         Seeded random source.
@@ -420,6 +421,9 @@
         self._publish()
         if self.cache.version.era > before.era and before != NO_VERSION:
             self._on_restored(changed, source, before)
+            changed_keys = {item.key for item in changed}
+            kept = [item for item in self.cache.kept_items() if item.key not in changed_keys]
+            changed = changed + kept
         self._schedule_release()
         if not changed:
             return
--- a/tests/test_gateway_restore.py
+++ b/tests/test_gateway_restore.py
@@ -154,6 +154,32 @@
             await asyncio.sleep(1.0)
             self.assertEqual(1, calls["/kv-txn"])
 
+    @asynchronous
+    async def test_a_gateway_that_starts_before_the_key_is_written_again_knows_the_block(self):
+        async with fleet(servers=1, gateways=2) as started:
+            copy = started.store.platform.copy()
+            started.store.put("quarantine/f1", {"owner": "nobody/1", "cleared": False})
+            await asyncio.sleep(0.5)
+            started.store.restore(copy)
+            await eventually(lambda: restores(started) == [1, 1])
+            gateway = await started.gateway()
+            await started.wait_until_ready()
+            await eventually(lambda: gateway._crashes._quarantine.is_suspected("f1"), 0.7)
+
+    @asynchronous
+    async def test_a_cleared_key_that_the_copy_shows_as_blocked_is_cleared_again(self):
+        async with fleet(servers=1, gateways=2) as started:
+            started.store.put("quarantine/f1", {"owner": "nobody/1", "cleared": False})
+            await asyncio.sleep(0.3)
+            copy = started.store.platform.copy()
+            started.store.put("quarantine/f1", {"owner": "nobody/1", "cleared": True})
+            await asyncio.sleep(0.3)
+            started.store.restore(copy)
+            calls = started.store.platform.calls
+            await eventually(lambda: calls["/kv-txn"] >= 1)
+            for gateway in started.gateways:
+                self.assertFalse(gateway._crashes._quarantine.is_suspected("f1"))
+
 
 def restores(started: Fleet) -> list[int]:
     """Return how many restores each gateway has noticed."""
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -23,7 +23,7 @@
     def writer_order(self, key: str, value: bytes) -> WriterOrder | None:
         return int(value), 0
 
-    def is_permanent(self, key: str) -> bool:
+    def outlives_restore(self, key: str) -> bool:
         return key == "config"
 
 
@@ -211,7 +211,7 @@
 
         quarantine = Quarantine(random.Random(1))
         quarantine.on_stored(0.0, "request", owned)
-        quarantine.on_forgotten(10.0, "request")
+        quarantine.on_forgotten(10.0, "request", owned)
         return quarantine
 
     def test_a_block_that_the_store_forgot_goes_on_at_every_daemon(self):
