Let the tests of announcements wait until the gateway was told

Traced: in the failing run the gateway had heard no answer that the server leaves (servers_leaving 0, hedges 1). The request that the test waited for was a hedge that was overtaken, so its answer was given up and nobody was told. The tests wait now until the gateway has counted an answer that says so, and check as strictly as before from then on.

--- a/tests/test_gateway_announcements.py
+++ b/tests/test_gateway_announcements.py
@@ -65,7 +65,7 @@
         async with fleet(servers=3) as started:
             server = started.servers_by_id["s0"]
             server.script = leaving()
-            await eventually_asked(started, "s0")
+            await eventually_told(started)
             server.requests.clear()
             self.assertEqual({200}, set(await ask_for(started, 1.0)))
             self.assertEqual([], server.requests)
@@ -75,7 +75,7 @@
         async with fleet(servers=2) as started:
             server = started.servers_by_id["s0"]
             server.script = leaving()
-            await eventually_asked(started, "s0")
+            await eventually_told(started)
             started.store.put("servers/s0", server.registration("desk", seq=90))
             await asyncio.sleep(0.3)
             started.store.delete("servers/s0")
@@ -92,7 +92,7 @@
     async def test_the_last_server_that_leaves_leaves_an_honest_refusal_at_once(self):
         async with fleet(servers=1) as started:
             started.servers_by_id["s0"].script = leaving()
-            await eventually_asked(started, "s0")
+            await eventually_told(started)
             caller = await started.caller()
             began = time.monotonic()
             answer = await caller.ask("r")
@@ -113,7 +113,7 @@
         async with fleet(servers=4) as started:
             server = started.servers_by_id["s0"]
             server.script = resting("1.5")
-            await eventually_asked(started, "s0")
+            await eventually_told(started)
             told_at = server.requests[0].at
             self.assertEqual({200}, set(await ask_for(started, 1.3, callers=6)))
             in_rest = health_checks_and_requests(started, "s0", told_at + REST_GRACE_S)
@@ -124,7 +124,7 @@
         async with fleet(servers=2) as started:
             server = started.servers_by_id["s0"]
             server.script = resting("0.6")
-            await eventually_asked(started, "s0")
+            await eventually_told(started)
             server.script = started.servers_by_id["s1"].script
             await ask_for(started, 2.0, callers=6)
             self.assertTrue(server.requests[1:])
@@ -153,14 +153,29 @@
                 server = started.servers_by_id["s0"]
                 healthy = server.script
                 server.script = resting(value)
-                await eventually_asked(started, "s0")
+                await eventually_told(started)
                 server.script = healthy
                 await asyncio.sleep(0.3)
                 self.assertEqual({200}, set(await ask_for(started, 0.2, 1)), value)
 
 
+async def eventually_told(started: Fleet) -> None:
+    """Send requests until the gateway has an answer by which a server leaves or wants a rest.
+
+    A request that a hedge overtakes reaches a server too, but tells the gateway nothing.
+    """
+    counters = started.gateways[0]._counters
+    before = counters.servers_leaving + counters.server_rests + counters.rests_unreadable
+
+    async def told() -> bool:
+        await ask_for(started, 0.02, 1)
+        return counters.servers_leaving + counters.server_rests + counters.rests_unreadable > before
+
+    await eventually(told)
+
+
 async def eventually_asked(started: Fleet, server_id: str) -> None:
-    """Send requests until one reaches a server, and wait for its answer."""
+    """Send requests until one reaches a server."""
     server = started.servers_by_id[server_id]
     server.requests.clear()
 
@@ -169,4 +184,3 @@
         return bool(server.requests)
 
     await eventually(asked)
-    await asyncio.sleep(0.02)
