--- a/review/2/case.py
+++ b/review/2/case.py
@@ -128,7 +128,9 @@
         record.write(f"{len(calls)} requests: {dict(results)}")
         record.write(f"run by an instance, connection closed without an answer: {len(lost)}")
         record.write(f"ends by memory over {RAM_MB} MB: {dict(machines.ends)}")
-        record.write(f"largest memory seen: { {n: round(m) for n, m in machines.peaks_mb.items()} }")
+        record.write(
+            f"largest memory seen: { {n: round(m) for n, m in machines.peaks_mb.items()} }"
+        )
         return sum(ends >= 3 for ends in machines.ends.values()) >= 2
     finally:
         await gateways.close()
--- a/review/support.py
+++ b/review/support.py
@@ -270,7 +270,9 @@
         self.processes: dict[int, asyncio.subprocess.Process] = {}
 
     def address(self, number: int, kind: int = FRONT) -> tuple[str, int]:
-        return f"127.0.1.{number + 1}", self._ports[kind]
+        # Addresses of this process alone, so that scripts may run side by side.
+        pid = os.getpid()
+        return f"127.{pid // 250 % 250 + 1}.{pid % 250 + 1}.{number + 1}", self._ports[kind]
 
     def _settings(self, number: int) -> dict[str, Any]:
         ip = self.address(number)[0]
