--- a/review/1/case.py
+++ b/review/1/case.py
@@ -45,6 +45,7 @@
 
 
 async def case(record: Record, folder: Path, trouble: bool) -> bool:
+    """Play the case, with the disruption or without, and return whether the rule was broken."""
     store = Store()
     await store.start()
     store.put("op/config", configuration(1, route("safe", "desk", "1000ms", "500ms")))
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -23,7 +23,6 @@
     route,
     rss_mb,
     run_case,
-    success,
 )
 
 # refill-charge on svbr-gateway-grown: aim 1,317 ms, deadline 13,119 ms; machines of 200 to 552 MB.
@@ -65,6 +64,7 @@
         self.peaks_mb: dict[int, float] = {}
 
     async def watch(self, number: int) -> None:
+        """Watch one gateway until cancelled."""
         while True:
             memory_mb = rss_mb(self._gateways.processes[number].pid)
             self.peaks_mb[number] = max(memory_mb, self.peaks_mb.get(number, 0.0))
@@ -78,6 +78,7 @@
 
 
 async def case(record: Record, folder: Path, trouble: bool) -> bool:
+    """Play the case, with the disruption or without, and return whether the rule was broken."""
     store = Store()
     await store.start()
     limits = f"{DEADLINE_MS}ms", f"{GOAL_MS}ms"
--- a/review/support.py
+++ b/review/support.py
@@ -35,6 +35,7 @@
         self._started = time.monotonic()
 
     def write(self, text: str) -> None:
+        """Write one line."""
         line = f"{time.monotonic() - self._started:8.3f}  {text}"
         print(line, flush=True)
         self._file.write(line + "\n")
@@ -80,8 +81,9 @@
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
+        """Listen on a free port."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = "127.0.0.1:%d" % self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
 
     def put(self, key: str, value: Any, lease: int = 0) -> int:
         """Write an item; a value that isn't bytes becomes JSON. Return the revision."""
@@ -94,6 +96,7 @@
         return self.revision
 
     def delete(self, key: str) -> None:
+        """Delete an item if it exists."""
         if self.items.pop(key, None) is not None:
             self.revision += 1
             self._events.append({"key": key, "rev": self.revision, "removed": True})
@@ -180,10 +183,12 @@
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, port: int = 0) -> None:
+        """Listen on a port, by default a free one."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", port, limit=2**17)
-        self.address = "127.0.0.1:%d" % self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
 
     def entry(self, state: str = "ready") -> dict[str, Any]:
+        """Return the next entry that it writes to the store."""
         self.sequence += 1
         return {
             "addr": self.address,
@@ -232,6 +237,7 @@
 
 
 def route(kind: str, service: str, timeout: str, goal: str, attempts: int = 2) -> dict[str, Any]:
+    """Return a route whose prefix names its kind and service."""
     return {
         "host": HOST,
         "prefix": f"/{kind}-{service}/",
@@ -270,6 +276,7 @@
         self.processes: dict[int, asyncio.subprocess.Process] = {}
 
     def address(self, number: int, kind: int = FRONT) -> tuple[str, int]:
+        """Return an address of a gateway."""
         # Addresses of this process alone, so that scripts may run side by side.
         pid = os.getpid()
         return f"127.{pid // 250 % 250 + 1}.{pid % 250 + 1}.{number + 1}", self._ports[kind]
@@ -327,6 +334,7 @@
         }
 
     async def start(self, number: int) -> None:
+        """Start the process of a gateway."""
         path = self._folder / f"boot-{number}.json"
         path.write_text(json.dumps(self._settings(number)))
         with (self._folder / f"log-{number}").open("ab") as log:
@@ -348,6 +356,7 @@
         self._record.write(f"gateway {number} started, pid {self.processes[number].pid}")
 
     async def is_ready(self, number: int) -> bool:
+        """Whether the readiness address of a gateway answers 200."""
         try:
             async with asyncio.timeout(1.0):
                 client = await Client.open(self.address(number, READINESS))
@@ -359,6 +368,7 @@
             return False
 
     async def wait_until_ready(self, number: int, within_s: float) -> bool:
+        """Wait until a gateway is ready; return False if that takes too long."""
         end = time.monotonic() + within_s
         while time.monotonic() < end:
             if await self.is_ready(number):
@@ -376,12 +386,14 @@
         return found
 
     async def kill(self, number: int, signal_number: int = signal.SIGKILL) -> None:
+        """Send a signal to a gateway, SIGKILL by default, and wait until it has ended."""
         process = self.processes[number]
         with contextlib.suppress(ProcessLookupError):
             process.send_signal(signal_number)
         await process.wait()
 
     async def close(self) -> None:
+        """Kill all gateways."""
         for number in self.processes:
             await self.kill(number)
 
@@ -394,6 +406,7 @@
 
     @classmethod
     async def open(cls, address: tuple[str, int]) -> Client:
+        """Return a new connection."""
         return cls(*await asyncio.open_connection(*address))
 
     def send(
@@ -405,6 +418,7 @@
         deadline_ms: int = 1000,
         headers: str = "",
     ) -> None:
+        """Send a request without waiting for its answer."""
         head = f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
         head += f"Sycamorebay-Request-Id: {request_id}\r\n"
         head += f"Sycamorebay-Deadline-Ms: {deadline_ms}\r\n{headers}"
@@ -413,6 +427,7 @@
         self.writer.write(head.encode() + b"\r\n" + (body or b""))
 
     async def answer(self) -> tuple[int, dict[str, str], bytes]:
+        """Return the status, the headers and the body of the next answer."""
         first, headers, body = await read_message(self.reader)
         return int(first.split(" ")[1]), headers, body
 
@@ -421,7 +436,7 @@
         try:
             async with asyncio.timeout(wait_s):
                 self.send(*args, **kwargs)
-                status, headers, body = await self.answer()
+                status, headers, _ = await self.answer()
         except TimeoutError:
             return "no answer"
         except (OSError, asyncio.IncompleteReadError):
@@ -430,6 +445,7 @@
         return f"{status}{own}"
 
     def close(self) -> None:
+        """Close the connection."""
         self.writer.close()
 
 
