--- a/review/2/case.py
+++ b/review/2/case.py
@@ -16,12 +16,12 @@
     Client,
     Gateways,
     Instance,
+    Machines,
     Record,
     Store,
     answer_all,
     configuration,
     route,
-    rss_mb,
     run_case,
 )
 
@@ -34,7 +34,6 @@
 ROUNDS = 3
 ROUND_S = 8.0
 REQUESTS_PER_S = 10.0
-RESTART_DELAY_S = 0.5
 PIECE = b"2\r\nxx\r\n" * 4096
 
 
@@ -55,28 +54,6 @@
             await writer.drain()
 
 
-class Machines:
-    """Does what the platform does: kills a process over its limit, and starts it again."""
-
-    def __init__(self, gateways: Gateways, record: Record) -> None:
-        self._gateways, self._record = gateways, record
-        self.ends: Counter[int] = Counter()
-        self.peaks_mb: dict[int, float] = {}
-
-    async def watch(self, number: int) -> None:
-        """Watch one gateway until cancelled."""
-        while True:
-            memory_mb = rss_mb(self._gateways.processes[number].pid)
-            self.peaks_mb[number] = max(memory_mb, self.peaks_mb.get(number, 0.0))
-            if memory_mb > RAM_MB:
-                self.ends[number] += 1
-                self._record.write(f"gateway {number} has {memory_mb:.0f} MB of {RAM_MB}: killed")
-                await self._gateways.kill(number)
-                await asyncio.sleep(RESTART_DELAY_S)
-                await self._gateways.start(number)
-            await asyncio.sleep(0.05)
-
-
 async def case(record: Record, folder: Path, trouble: bool) -> bool:
     """Play the case, with the disruption or without, and return whether the rule was broken."""
     store = Store()
--- a/review/support.py
+++ b/review/support.py
@@ -16,6 +16,7 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -25,6 +26,8 @@
 HOST = "desk.example"
 PAGE_ITEMS = 500
 FRONT, READINESS, CONTROL, DATAGRAMS = range(4)
+# Before the platform starts a process again that has ended.
+RESTART_DELAY_S = 0.5
 
 
 class Record:
@@ -74,9 +77,11 @@
     def __init__(self) -> None:
         self.revision = 10
         self.items: dict[str, tuple[bytes, int, int, int]] = {}
-        self._events: list[dict[str, Any]] = []
+        self._events: list[tuple[float, dict[str, Any]]] = []
         self._changed = asyncio.Event()
         self._leases = 0
+        self._forgotten = 0
+        self.history_s = 20.0
         self.address = ""
         self._server: asyncio.Server | None = None
 
@@ -91,7 +96,7 @@
         self.revision += 1
         created = self.items[key][2] if key in self.items else self.revision
         self.items[key] = (data, self.revision, created, lease)
-        self._events.append(self._row(key))
+        self._events.append((time.monotonic(), self._row(key)))
         self._notify()
         return self.revision
 
@@ -99,10 +104,13 @@
         """Delete an item if it exists."""
         if self.items.pop(key, None) is not None:
             self.revision += 1
-            self._events.append({"key": key, "rev": self.revision, "removed": True})
+            row = {"key": key, "rev": self.revision, "removed": True}
+            self._events.append((time.monotonic(), row))
             self._notify()
 
     def _notify(self) -> None:
+        while time.monotonic() - self._events[0][0] > self.history_s:
+            self._forgotten = self._events.pop(0)[1]["rev"]
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -136,6 +144,8 @@
             return 200, {"items": rows, "has_more": has_more, "as_of": self.revision}
         if parts.path == "/kv-watch":
             after_rev = int(query["after"])
+            if after_rev < self._forgotten:
+                return 410, {}
             end = time.monotonic() + int(query["wait_ms"]) / 1000
             while not (events := self._since(prefix, after_rev)) and time.monotonic() < end:
                 with contextlib.suppress(TimeoutError):
@@ -153,7 +163,8 @@
         return 200, {}
 
     def _since(self, prefix: str, revision: int) -> list[dict[str, Any]]:
-        return [e for e in self._events if e["rev"] > revision and e["key"].startswith(prefix)]
+        rows = [row for _, row in self._events]
+        return [row for row in rows if row["rev"] > revision and row["key"].startswith(prefix)]
 
     def _transact(self, document: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         for row in document.get("if_rev", []):
@@ -272,7 +283,7 @@
     def __init__(self, folder: Path, store: str, record: Record, ram_mb: int = 300) -> None:
         self._folder, self._store, self._record = folder, store, record
         self._ports = free_ports(12)
-        self._ram_mb = ram_mb
+        self.ram_mb = ram_mb
         self.processes: dict[int, asyncio.subprocess.Process] = {}
 
     def address(self, number: int, kind: int = FRONT) -> tuple[str, int]:
@@ -301,7 +312,7 @@
             "port_range": [self._ports[DATAGRAMS], self._ports[DATAGRAMS] + 8],
             "seeds": [f"{self.address(seed)[0]}:{self._ports[CONTROL]}" for seed in range(3)],
             "bootstrap": False,
-            "limits": {"cpu_share": 0.86, "vcpus": 1, "ram_mb": self._ram_mb, "max_fds": 4100},
+            "limits": {"cpu_share": 0.86, "vcpus": 1, "ram_mb": self.ram_mb, "max_fds": 4100},
             "data_dir": None,
             "heartbeat": "1500ms",
             "parameters": {
@@ -398,6 +409,30 @@
             await self.kill(number)
 
 
+class Machines:
+    """Does what the platform does: kills a process over `ram_mb`, and starts it again."""
+
+    def __init__(self, gateways: Gateways, record: Record) -> None:
+        self._gateways, self._record = gateways, record
+        self.ends: Counter[int] = Counter()
+        self.peaks_mb: dict[int, float] = {}
+
+    async def watch(self, number: int) -> None:
+        """Watch one gateway until cancelled."""
+        while True:
+            memory_mb = rss_mb(self._gateways.processes[number].pid)
+            self.peaks_mb[number] = max(memory_mb, self.peaks_mb.get(number, 0.0))
+            if memory_mb > self._gateways.ram_mb:
+                self.ends[number] += 1
+                self._record.write(
+                    f"gateway {number} has {memory_mb:.0f} MB of {self._gateways.ram_mb}: killed"
+                )
+                await self._gateways.kill(number)
+                await asyncio.sleep(RESTART_DELAY_S)
+                await self._gateways.start(number)
+            await asyncio.sleep(0.05)
+
+
 class Client:
     """A client's connection."""
 
