--- a/review/2/case.py
+++ b/review/2/case.py
@@ -32,7 +32,8 @@
 GATEWAYS = 2
 INSTANCES = 4
 ROUNDS = 3
-ROUND_S = 8.0
+# Longer than the deadline, so that a slower machine gets to the limit as well.
+ROUND_S = 14.0
 REQUESTS_PER_S = 10.0
 PIECE = b"2\r\nxx\r\n" * 4096
 
