Let an item of the store that cannot be read cost itself alone

Cause: json.loads raises RecursionError, the readers' callers caught ValueError and TypeError, so the error left the loop over the listing's items and the task that reads the store. The cache had merged all items by then and returns an item as changed once only, so the task that was started again handed nothing on. Told apart by the log (one listing, no failed call, "task failed" once a gateway).

Change: one place for foreign bytes, sycamorebay.decoding, used by every reader of both daemons: a value or UndecodableError, a depth and a range of numbers that do not depend on the stack. An item whose handling fails costs itself, a delivery that fails is repeated with all items, a task that fails starts over from a whole listing; each is counted and logged. Infinite deadlines of callers count as none (OverflowError before). The handling of the store's items moved out of gateway.py, and the interface of the store out of store_sync.py.

--- a/src/sycamorebay/coordination/store_cache.py
+++ b/src/sycamorebay/coordination/store_cache.py
@@ -138,6 +138,10 @@
         """Return all items except deleted ones."""
         return tuple(item for item in self._by_key.values() if item.value is not None)
 
+    def known_items(self) -> tuple[VersionedItem, ...]:
+        """Return all items, and the deleted keys that are known."""
+        return tuple(self._by_key.values())
+
     def kept_items(self) -> tuple[VersionedItem, ...]:
         """Return the keys whose state is known from before a restore, deleted ones included."""
         return tuple(self._by_key[key] for key in self._kept_keys)
--- a/src/sycamorebay/platform/boot.py
+++ b/src/sycamorebay/platform/boot.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
-import json
 import os
+from pathlib import Path
 from typing import Any
 
 from sycamorebay.coordination.retry_budget import RetryLimits
+from sycamorebay.decoding import UndecodableError, parse_json
 from sycamorebay.errors import SettingsError
 from sycamorebay.platform.values import ValueFault, number, seconds, table, text
 from sycamorebay.state.faults import Fault
@@ -38,9 +39,8 @@
         With all faults found in the file.
     """
     try:
-        with open(path, encoding="utf-8") as file:
-            document = json.load(file)
-    except (OSError, ValueError) as error:
+        document = parse_json(Path(path).read_bytes())
+    except (OSError, UndecodableError) as error:
         raise SettingsError([Fault("", str(error), "a settings file in JSON")]) from error
     faults: list[Fault] = []
 
--- a/src/sycamorebay/platform/documents.py
+++ b/src/sycamorebay/platform/documents.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Mapping
 from typing import Any
 
+from sycamorebay import log
 from sycamorebay.coordination.forgotten import WriterOrder
+from sycamorebay.decoding import UndecodableError, decoding, parse_json
 from sycamorebay.platform.values import ValueFault, integer, number, seconds, table, text
 from sycamorebay.state.blocks import Block
 from sycamorebay.state.routing import (
@@ -30,6 +31,8 @@
 QUARANTINE_PREFIX = "quarantine/"
 _STATES = frozenset({"ready", "draining"})
 
+_log = log.get_logger("documents")
+
 
 class PlatformDocuments:
     """The `Documents` of the platform: decodes values of its store, which are JSON."""
@@ -52,14 +55,14 @@
         """Return the place of a document among those of its writer; None if it has no number."""
         try:
             if self.is_routing(key):
-                return integer(json.loads(value), "version"), 0
+                return integer(parse_json(value), "version"), 0
             if (server_id := self.server_id(key)) is not None:
                 entry = self.read_server(server_id, value)
                 return entry.started_ms, entry.sequence
             if self.blocked_fingerprint(key) is not None:
                 return int(self.read_block(value).cleared), 0
-        except (ValueError, TypeError):
-            pass
+        except UndecodableError as error:
+            _log.info("document without a readable number", key=key, reason=str(error))
         return None
 
     def outlives_restore(self, key: str) -> bool:
@@ -74,10 +77,10 @@
 
         Raises
         ------
-        ValueError, TypeError
+        UndecodableError
             If the value cannot be decoded.
         """
-        document = json.loads(value)
+        document = parse_json(value)
         return Block(text(document, "owner"), bool(document.get("cleared")))
 
     def read_routing(self, value: bytes) -> RoutingTable:
@@ -88,10 +91,10 @@
 
         Raises
         ------
-        ValueError, TypeError
+        UndecodableError
             If the value is not a table of routes with a version.
         """
-        document = json.loads(value)
+        document = parse_json(value)
         faults: list[str] = []
         routes, unreadable_routes = _read_routes(table(document, "routes"), faults)
         return RoutingTable(
@@ -108,10 +111,10 @@
 
         Raises
         ------
-        ValueError, TypeError
+        UndecodableError
             If the value cannot be decoded.
         """
-        document = json.loads(value)
+        document = parse_json(value)
         info = table(document, "info")
         status = table(document, "status")
         state = text(status, "state")
@@ -138,8 +141,9 @@
     unreadable_routes: list[UnreadableRoute] = []
     for name, document in documents.items():
         try:
-            routes.append(_route(name, document, faults))
-        except (ValueError, TypeError) as error:
+            with decoding("route"):
+                routes.append(_route(name, document, faults))
+        except UndecodableError as error:
             unreadable_routes.append(_unreadable_route(name, document, str(error)))
     return routes, unreadable_routes
 
--- a/src/sycamorebay/platform/headers.py
+++ b/src/sycamorebay/platform/headers.py
@@ -81,9 +81,10 @@
 
 def _deadline_s(value: bytes | None) -> float | None:
     try:
-        return None if value is None else max(0.0, float(value) / 1000)
+        deadline_ms = float(value) if value is not None else math.nan
     except ValueError:
         return None
+    return max(0.0, deadline_ms / 1000) if math.isfinite(deadline_ms) else None
 
 
 def _seconds(value: bytes | None) -> float | None:
--- a/src/sycamorebay/platform/store.py
+++ b/src/sycamorebay/platform/store.py
@@ -4,6 +4,7 @@
 
 import base64
 import json
+from contextlib import suppress
 from typing import Any
 from urllib.parse import quote
 
@@ -11,15 +12,16 @@
 
 from sycamorebay import log
 from sycamorebay.coordination.eras import BelievedEra, DoubtfulEraError
+from sycamorebay.decoding import UndecodableError, check_integer, check_text, decoding, parse_json
 from sycamorebay.errors import PlatformError
 from sycamorebay.platform.documents import QUARANTINE_PREFIX
 from sycamorebay.protocol.header_names import RawHeaders
 from sycamorebay.state.blocks import Block
 from sycamorebay.state.store_versions import StoreVersion, VersionedItem, VersionedListing
+from sycamorebay.transport.gateway.change_feed import ChangesLostError
 from sycamorebay.transport.gateway.client import AnswerError, ClientAnswer, ConnectError
 from sycamorebay.transport.gateway.connection_pool import ConnectionPool
 from sycamorebay.transport.gateway.counters import Counters
-from sycamorebay.transport.gateway.store_sync import ChangesLostError
 
 CALL_TIMEOUT_S = 0.8
 # Added to the waiting time of a watch; a watch without an answer by then has failed.
@@ -183,9 +185,9 @@
         for row in rows:
             try:
                 items.append(_item(row, era))
-            except (ValueError, TypeError, KeyError, AttributeError) as error:
+            except UndecodableError as error:
                 self._counters.undecodable += 1
-                _log.warning("store item could not be decoded", reason=repr(error))
+                _log.warning("store item could not be decoded", reason=str(error))
         return items
 
     async def _call(
@@ -207,7 +209,7 @@
             if answer.status != 200:
                 raise self._count_failure(step, f"status {answer.status}")
             return _Answer(_json_object(answer.body), era)
-        except (TimeoutError, ConnectError, AnswerError, ValueError) as error:
+        except (TimeoutError, ConnectError, AnswerError, UndecodableError) as error:
             raise self._count_failure(step, str(error) or type(error).__name__) from error
 
     def _era(self, step: str, answer: ClientAnswer) -> int:
@@ -235,20 +237,25 @@
 
 
 def _json_object(body: bytes) -> dict[str, Any]:
-    document = json.loads(body)
+    document = parse_json(body)
     if not isinstance(document, dict):
-        raise ValueError("the answer is not a JSON object")
+        raise UndecodableError("the answer is not a JSON object")
     return document
 
 
 def _last_key(rows: list[Any]) -> str:
-    keys = (str(row["key"]) for row in reversed(rows) if isinstance(row, dict) and "key" in row)
-    return next(keys, "")
+    """Return the last key of a page that can be read."""
+    for row in reversed(rows):
+        with suppress(UndecodableError), decoding("key"):
+            return check_text(row["key"])
+    return ""
 
 
 def _item(item: dict[str, Any], era: int) -> VersionedItem:
-    value = None if item.get("removed") else base64.b64decode(item["value"])
-    return VersionedItem(str(item["key"]), value, StoreVersion(era, int(item["rev"])))
+    with decoding("item"):
+        value = None if item.get("removed") else base64.b64decode(item["value"])
+        version = StoreVersion(era, check_integer(item["rev"]))
+        return VersionedItem(check_text(item["key"]), value, version)
 
 
 def _stated_era(headers: RawHeaders) -> int | None:
--- a/src/sycamorebay/platform/values.py
+++ b/src/sycamorebay/platform/values.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
-import math
 import re
 from collections.abc import Mapping
 from typing import Any
 
+from sycamorebay.decoding import MAX_NUMBER, UndecodableError, check_text
+
 _TIME = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)\Z")
 
 
-class ValueFault(ValueError):
+class ValueFault(UndecodableError):
     """A field is missing or its value is not what the platform documents."""
 
 
@@ -39,11 +40,11 @@
     value = _field(document, name)
     if not isinstance(value, str) or not value:
         raise ValueFault(f"{name}: expected a non-empty string")
-    return value
+    return check_text(value)
 
 
 def integer(document: Any, name: str, minimum: int = 0) -> int:
-    """Return a field that is an integer of at least `minimum`.
+    """Return a field that is an integer from `minimum` to `MAX_NUMBER`.
 
     Raises
     ------
@@ -51,13 +52,15 @@
         If the field is missing or has another value.
     """
     value = _field(document, name)
-    if isinstance(value, bool) or not isinstance(value, int) or value < minimum:
-        raise ValueFault(f"{name}: expected an integer of at least {minimum}")
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise ValueFault(f"{name}: expected an integer")
+    if not minimum <= value <= MAX_NUMBER:
+        raise ValueFault(f"{name}: expected an integer from {minimum} to {MAX_NUMBER}")
     return value
 
 
 def number(document: Any, name: str) -> float:
-    """Return a field that is a finite number of at least 0.
+    """Return a field that is a number from 0 to `MAX_NUMBER`.
 
     Raises
     ------
@@ -67,14 +70,16 @@
     value = _field(document, name)
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise ValueFault(f"{name}: expected a number")
-    if not math.isfinite(value) or value < 0:
-        raise ValueFault(f"{name}: expected a finite number of at least 0")
+    if not 0 <= value <= MAX_NUMBER:
+        raise ValueFault(f"{name}: expected a number from 0 to {MAX_NUMBER}")
     return float(value)
 
 
 def seconds(document: Any, name: str) -> float:
     """Return a field with a duration such as ``1500ms`` or ``2s``, converted to seconds.
 
+    It is at most `MAX_NUMBER` seconds.
+
     Raises
     ------
     ValueFault
@@ -83,7 +88,10 @@
     matched = _TIME.match(text(document, name))
     if matched is None:
         raise ValueFault(f"{name}: expected a duration such as 1500ms or 2s")
-    return float(matched[1]) / (1000.0 if matched[2] == "ms" else 1.0)
+    duration_s = float(matched[1]) / (1000.0 if matched[2] == "ms" else 1.0)
+    if duration_s > MAX_NUMBER:
+        raise ValueFault(f"{name}: expected at most {MAX_NUMBER} s")
+    return duration_s
 
 
 def _field(document: Any, name: str) -> Any:
--- a/src/sycamorebay/protocol/peer_messages.py
+++ b/src/sycamorebay/protocol/peer_messages.py
@@ -12,7 +12,9 @@
 import attrs
 
 from sycamorebay.coordination.fleet_view import Contact
+from sycamorebay.decoding import UndecodableError, check_integer, check_text, decoding, parse_json
 from sycamorebay.protocol.store_items import (
+    decompress,
     items_to_rows,
     row_to_version,
     rows_to_items,
@@ -185,29 +187,16 @@
     ------
     OtherVersionError
         If it is of another version of the protocol.
-    ValueError
+    UndecodableError
         If it cannot be decoded.
     """
-    try:
-        document = json.loads(data if data[:1] == b"{" else _decompress(data))
-        if not isinstance(document, dict):
-            raise ValueError("the message is not a JSON object")
-        if document.get("p") != PROTOCOL_VERSION:
-            raise OtherVersionError(f"protocol version {document.get('p')!r}")
+    document = parse_json(data if data[:1] == b"{" else decompress(data, MAX_MESSAGE_BYTES))
+    if not isinstance(document, dict):
+        raise UndecodableError("the message is not a JSON object")
+    if document.get("p") != PROTOCOL_VERSION:
+        raise OtherVersionError(f"protocol version {document.get('p')!r}")
+    with decoding("message"):
         return _from_document(document)
-    except (KeyError, TypeError, AttributeError, OverflowError, RecursionError) as error:
-        raise ValueError(f"malformed message: {error!r}") from error
-
-
-def _decompress(data: bytes) -> bytes:
-    decompressor = zlib.decompressobj()
-    try:
-        plain = decompressor.decompress(data, MAX_MESSAGE_BYTES)
-    except zlib.error as error:
-        raise ValueError(f"malformed message: {error}") from error
-    if not decompressor.eof:
-        raise ValueError("the message is cut short or too long")
-    return plain
 
 
 def _to_document(message: PeerMessage) -> dict[str, Any]:
@@ -254,7 +243,7 @@
 
 
 def _from_document(document: dict[str, Any]) -> PeerMessage:
-    name, incarnation, kind = str(document["n"]), int(document["i"]), document["t"]
+    name, incarnation, kind = check_text(document["n"]), check_integer(document["i"]), document["t"]
     if kind == "changes":
         after, version = row_to_version(document["after"]), row_to_version(document["version"])
         items = tuple(rows_to_items(document["items"], version.era))
@@ -263,16 +252,16 @@
         return Leave(name, incarnation)
     if kind == "crashes":
         crashes = tuple(_crash_row(*row) for row in document["rows"])
-        refuted = tuple(str(server) for server in document["refuted"])
-        survived = tuple(str(one) for one in document["survived"])
+        refuted = tuple(check_text(server) for server in document["refuted"])
+        survived = tuple(check_text(one) for one in document["survived"])
         return CrashReport(name, incarnation, CrashNews(crashes, refuted, survived))
     if kind != "beat":
         raise ValueError(f"unknown kind of message: {kind!r}")
     return Heartbeat(
         name=name,
         incarnation=incarnation,
-        control=str(document["control"]),
-        failure_domain=str(document["domain"]),
+        control=check_text(document["control"]),
+        failure_domain=check_text(document["domain"]),
         link_mbps=_number(document["link"]),
         is_relay=bool(document["relay"]),
         asks=bool(document["asks"]),
@@ -281,16 +270,16 @@
         confirmed_age_s=_number(document["age"]),
         reaches_store=bool(document["store"]),
         interval_s=_number(document["next"]),
-        leaves=int(document["leaves"]),
-        relays=int(document["relays"]),
-        fleet_size=int(document["fleet"]),
+        leaves=check_integer(document["leaves"]),
+        relays=check_integer(document["relays"]),
+        fleet_size=check_integer(document["fleet"]),
         contacts=tuple(_contact(*row) for row in document["peers"]),
-        kept=max(0, int(document["kept"])),
+        kept=check_integer(document["kept"]),
     )
 
 
 def _crash_row(fingerprint: str, server: str, age_s: float) -> CrashRow:
-    return CrashRow(str(fingerprint), str(server), _number(age_s))
+    return CrashRow(check_text(fingerprint), check_text(server), _number(age_s))
 
 
 def _contact_row(contact: Contact) -> list[str | int | float]:
@@ -304,7 +293,7 @@
     address = str(ipaddress.IPv4Address(host)), int(port)
     if not 0 < address[1] < 65_536:
         raise ValueError(f"port {port} is out of range")
-    return Contact(str(name), address, str(failure_domain), _number(link_mbps))
+    return Contact(check_text(name), address, check_text(failure_domain), _number(link_mbps))
 
 
 def _number(value: Any) -> float:
--- a/src/sycamorebay/protocol/reports.py
+++ b/src/sycamorebay/protocol/reports.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from sycamorebay.decoding import UndecodableError, decoding, parse_json
 from sycamorebay.errors import PlatformError
 from sycamorebay.protocol.keys import reports_prefix
 
@@ -51,8 +52,9 @@
         If the value is not the JSON of a report.
     """
     try:
-        return EntryReport(**json.loads(value))
-    except (ValueError, TypeError) as error:
+        with decoding("report"):
+            return EntryReport(**parse_json(value))
+    except UndecodableError as error:
         raise PlatformError(
             f"the stored value is not a valid report: {error}", step="decode"
         ) from error
--- a/src/sycamorebay/protocol/revisions.py
+++ b/src/sycamorebay/protocol/revisions.py
@@ -9,7 +9,8 @@
 import attrs
 
 from sycamorebay.coordination.configuration import Revision
-from sycamorebay.errors import DocumentError, PeerError, PlatformError
+from sycamorebay.decoding import UndecodableError, check_integer, decoding, parse_json
+from sycamorebay.errors import DocumentError, PlatformError
 from sycamorebay.protocol.documents import compress_document, decompress_document
 from sycamorebay.state.document import digest_of
 from sycamorebay.state.faults import fault_at
@@ -97,11 +98,13 @@
         If the value is not the JSON of a record, or the digest does not match the document.
     """
     try:
-        data = json.loads(value)
-        text = decompress_document(base64.b64decode(data["document"], validate=True))
-        record = RevisionRecord(Revision(int(data["revision"]), text), str(data["nonce"]))
-        digest = data["digest"]
-    except (ValueError, KeyError, TypeError, AttributeError, PeerError) as error:
+        with decoding("revision"):
+            data = parse_json(value)
+            text = decompress_document(base64.b64decode(data["document"], validate=True))
+            number = check_integer(data["revision"])
+            record = RevisionRecord(Revision(number, text), str(data["nonce"]))
+            digest = data["digest"]
+    except UndecodableError as error:
         raise PlatformError(
             f"the stored value is not a valid revision: {error}", step="decode"
         ) from error
@@ -126,9 +129,10 @@
         If the value is not the JSON of an audit trail.
     """
     try:
-        entries: list[dict[str, Any]] = json.loads(value)["trail"]
-        return tuple(AuditEntry(**entry) for entry in entries)
-    except (ValueError, KeyError, TypeError) as error:
+        with decoding("audit trail"):
+            entries: list[dict[str, Any]] = parse_json(value)["trail"]
+            return tuple(AuditEntry(**entry) for entry in entries)
+    except UndecodableError as error:
         raise PlatformError(
             f"the stored value is not a valid audit trail: {error}", step="decode"
         ) from error
--- a/src/sycamorebay/protocol/store_items.py
+++ b/src/sycamorebay/protocol/store_items.py
@@ -10,8 +10,11 @@
 
 import attrs
 
+from sycamorebay.decoding import UndecodableError, check_integer, check_text, decoding, parse_json
 from sycamorebay.state.store_versions import StoreVersion, VersionedItem
 
+# A copy that decompresses to more than this does not fit into a daemon's memory.
+MAX_COPY_BYTES = 64 * 1024 * 1024
 Row = list[str | int | None]
 # Flags of a row, its fourth element.
 _IS_BASE64 = 1
@@ -47,13 +50,12 @@
 
     Raises
     ------
-    ValueError, TypeError
+    UndecodableError
         If the row is malformed.
     """
-    era, revision = row
-    if type(era) is not int or type(revision) is not int or era < 0 or revision < 0:
-        raise ValueError(f"expected an era and a revision, found {row!r}")
-    return StoreVersion(era, revision)
+    with decoding("version"):
+        era, revision = row
+    return StoreVersion(check_integer(era), check_integer(revision))
 
 
 def items_to_rows(items: Iterable[VersionedItem]) -> list[Row]:
@@ -71,10 +73,11 @@
 
     Raises
     ------
-    ValueError, TypeError, AttributeError
+    UndecodableError
         If a row is malformed.
     """
-    return [_item(row, era) for row in rows]
+    with decoding("items"):
+        return [_item(row, era) for row in rows]
 
 
 def encode_copy(copy: CacheCopy) -> bytes:
@@ -92,11 +95,11 @@
 
     Raises
     ------
-    ValueError
+    UndecodableError
         If the data is not a copy of a store cache.
     """
-    try:
-        document = json.loads(zlib.decompress(data))
+    with decoding("copy of a store cache"):
+        document = parse_json(decompress(data, MAX_COPY_BYTES))
         after = document["after"]
         version = row_to_version(document["version"])
         return CacheCopy(
@@ -104,8 +107,22 @@
             version,
             None if after is None else row_to_version(after),
         )
-    except (KeyError, TypeError, AttributeError, zlib.error) as error:
-        raise ValueError(f"the data is not a copy of a store cache: {error!r}") from error
+
+
+def decompress(data: bytes, max_bytes: int) -> bytes:
+    """Return data decompressed.
+
+    Raises
+    ------
+    UndecodableError
+        If it is damaged, cut short, or decompresses to more than `max_bytes` bytes.
+    """
+    decompressor = zlib.decompressobj()
+    with decoding("compressed data"):
+        plain = decompressor.decompress(data, max_bytes)
+    if not decompressor.eof:
+        raise UndecodableError("the compressed data is cut short or too long")
+    return plain
 
 
 def _row(item: VersionedItem) -> Row:
@@ -138,6 +155,5 @@
         value = base64.b64decode(text) if flags & _IS_BASE64 else text.encode()
     last_value = base64.b64decode(rest[1]) if len(rest) > 1 else None
     is_forgotten = bool(flags & _IS_FORGOTTEN)
-    return VersionedItem(
-        str(key), value, StoreVersion(era, int(revision)), is_forgotten, last_value
-    )
+    version = StoreVersion(era, check_integer(revision))
+    return VersionedItem(check_text(key), value, version, is_forgotten, last_value)
--- a/src/sycamorebay/settings.py
+++ b/src/sycamorebay/settings.py
@@ -11,6 +11,7 @@
 import cattrs
 
 from sycamorebay.coordination.choose import DEFAULT_CHOOSER
+from sycamorebay.decoding import UndecodableError, parse_json
 from sycamorebay.errors import SettingsError
 from sycamorebay.state.faults import Fault, fault_at, schema_faults
 
@@ -297,8 +298,8 @@
         If the file cannot be read or has faults; it carries every fault.
     """
     try:
-        data = json.loads(Path(path).read_text())
-    except (OSError, ValueError) as error:
+        data = parse_json(Path(path).read_bytes())
+    except (OSError, UndecodableError) as error:
         raise SettingsError([fault_at("", str(path), f"a readable JSON file ({error})")]) from error
     faults = settings_faults(data)
     if faults:
--- a/src/sycamorebay/state/document.py
+++ b/src/sycamorebay/state/document.py
@@ -10,6 +10,7 @@
 import attrs
 import cattrs
 
+from sycamorebay.decoding import UndecodableError, parse_json
 from sycamorebay.errors import DocumentError
 from sycamorebay.state.faults import Fault, fault_at, schema_faults
 
@@ -234,8 +235,8 @@
     if len(text) > MAX_DOCUMENT_BYTES:
         raise DocumentError([fault_at("", len(text), f"at most {MAX_DOCUMENT_BYTES} bytes")])
     try:
-        data = json.loads(text)
-    except ValueError as error:
+        data = parse_json(text)
+    except UndecodableError as error:
         raise DocumentError([fault_at("", text[:40], f"JSON ({error})")]) from error
     faults = document_faults(data)
     if faults:
--- a/src/sycamorebay/transport/background.py
+++ b/src/sycamorebay/transport/background.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from typing import Protocol
 
 from sycamorebay import log
@@ -24,7 +24,9 @@
 
 @contextlib.asynccontextmanager
 async def run_in_background(
-    background_tasks: Sequence[BackgroundTask], restart_delay_s: float = RESTART_DELAY_S
+    background_tasks: Sequence[BackgroundTask],
+    restart_delay_s: float = RESTART_DELAY_S,
+    on_failed: Callable[[], None] = lambda: None,
 ) -> AsyncIterator[None]:
     """Run tasks concurrently and cancel them when the ``async with`` block ends.
 
@@ -36,9 +38,11 @@
         Tasks to run.
     restart_delay_s : float
         Delay before a task is run again, in seconds.
+    on_failed : callable
+        Called after each failure of a task.
     """
     tasks = [
-        asyncio.create_task(_run_with_restarts(background_task, restart_delay_s))
+        asyncio.create_task(_run_with_restarts(background_task, restart_delay_s, on_failed))
         for background_task in background_tasks
     ]
     try:
@@ -49,10 +53,13 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
-async def _run_with_restarts(background_task: BackgroundTask, restart_delay_s: float) -> None:
+async def _run_with_restarts(
+    background_task: BackgroundTask, restart_delay_s: float, on_failed: Callable[[], None]
+) -> None:
     while True:
         try:
             await background_task.run()
         except Exception:
             _log.exception("task failed", task=type(background_task).__name__)
+            on_failed()
         await asyncio.sleep(restart_delay_s)
--- a/src/sycamorebay/transport/configuration/following.py
+++ b/src/sycamorebay/transport/configuration/following.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import contextlib
-import json
 import random
 
 from sycamorebay import log
 from sycamorebay.coordination.membership import Member, Membership
 from sycamorebay.coordination.rate_limit import Backoff
+from sycamorebay.decoding import UndecodableError, decoding, parse_json
 from sycamorebay.errors import PlatformError
 from sycamorebay.protocol.keys import document_key, environment_prefix, members_prefix
 from sycamorebay.settings import Settings
@@ -155,8 +155,9 @@
 
     def _on_member(self, key: str, value: bytes) -> None:
         try:
-            self._members_by_key[key] = Member(**json.loads(value))
-        except (ValueError, TypeError) as error:
+            with decoding("registration"):
+                self._members_by_key[key] = Member(**parse_json(value))
+        except UndecodableError as error:
             _log.error("registration rejected", key=key, reason=str(error))
 
     def _remove(self, key: str) -> None:
--- a/src/sycamorebay/transport/configuration/platform.py
+++ b/src/sycamorebay/transport/configuration/platform.py
@@ -7,15 +7,15 @@
 
 import asyncio
 import base64
-import json
-from collections.abc import AsyncIterator, Callable, Sequence
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Callable, Iterator, Sequence
+from contextlib import asynccontextmanager, contextmanager
 from typing import Any, Protocol
 
 import aiohttp
 import attrs
 
 from sycamorebay.coordination.rate_limit import TokenBucket
+from sycamorebay.decoding import UndecodableError, decoding, parse_json
 from sycamorebay.errors import PlatformError
 from sycamorebay.settings import PlatformSettings
 from sycamorebay.state.stored import Listing, StoredItem, Write
@@ -155,20 +155,23 @@
     async def read(self, key: str) -> StoredItem | None:
         """Return a key with its value and version, or None if it is absent."""
         reply = await self._call("/v3/kv/range", {"key": _to_base64(key.encode())})
-        kvs = reply.get("kvs") or []
-        return _decode_item(kvs[0]) if kvs else None
+        with self._decoding("/v3/kv/range"):
+            kvs = reply.get("kvs") or []
+            return _decode_item(kvs[0]) if kvs else None
 
     async def read_prefix(self, prefix: str) -> Listing:
         """Return all keys under a prefix, with their values."""
-        reply = await self._call("/v3/kv/range", _prefix_range(prefix))
-        items = tuple(_decode_item(kv) for kv in reply.get("kvs") or [])
-        return Listing(items, int(reply["header"]["revision"]))
+        return await self._listing(_prefix_range(prefix))
 
     async def read_versions(self, prefix: str) -> Listing:
         """Return all keys under a prefix, without their values."""
-        reply = await self._call("/v3/kv/range", {**_prefix_range(prefix), "keys_only": True})
-        items = tuple(_decode_item(kv) for kv in reply.get("kvs") or [])
-        return Listing(items, int(reply["header"]["revision"]))
+        return await self._listing({**_prefix_range(prefix), "keys_only": True})
+
+    async def _listing(self, request: dict[str, Any]) -> Listing:
+        reply = await self._call("/v3/kv/range", request)
+        with self._decoding("/v3/kv/range"):
+            items = tuple(_decode_item(kv) for kv in reply.get("kvs") or [])
+            return Listing(items, int(reply["header"]["revision"]))
 
     async def swap(
         self,
@@ -195,12 +198,14 @@
     async def grant(self, ttl_s: int) -> int:
         """Return the id of a new lease that lasts `ttl_s` seconds."""
         reply = await self._call("/v3/lease/grant", {"TTL": str(ttl_s)})
-        return int(reply["ID"])
+        with self._decoding("/v3/lease/grant"):
+            return int(reply["ID"])
 
     async def keep_alive(self, lease: int) -> bool:
         """Renew a lease, and return False if it has expired."""
         reply = await self._call("/v3/lease/keepalive", {"ID": str(lease)})
-        return int(reply.get("result", {}).get("TTL", 0)) > 0
+        with self._decoding("/v3/lease/keepalive"):
+            return int(reply.get("result", {}).get("TTL", 0)) > 0
 
     async def revoke(self, lease: int) -> None:
         """End a lease and delete its keys."""
@@ -231,7 +236,7 @@
                 async for line in _lines(response.content):
                     for event in _decode_watch_result(line).get("events") or []:
                         yield _decode_event(event)
-        except (aiohttp.ClientError, OSError, ValueError, KeyError) as error:
+        except (aiohttp.ClientError, OSError, UndecodableError) as error:
             raise self._to_platform_error("watch", error) from error
         raise PlatformError("the store closed the watch", step="watch", peer=self._settings.url)
 
@@ -248,9 +253,10 @@
         try:
             async with self._session.get(self._settings.vm_list_url, timeout=timeout) as response:
                 response.raise_for_status()
-                rows = await response.json()
-            return [Vm(str(row["address"]), row.get("state") == LEAVING) for row in rows]
-        except (aiohttp.ClientError, OSError, ValueError, KeyError, TypeError) as error:
+                rows = parse_json(await response.read())
+            with decoding("list of VMs"):
+                return [Vm(str(row["address"]), row.get("state") == LEAVING) for row in rows]
+        except (aiohttp.ClientError, OSError, UndecodableError) as error:
             raise self._to_platform_error("vms", error) from error
 
     async def _call(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
@@ -261,8 +267,8 @@
                 self._settings.url + path, json=body, timeout=timeout
             ) as response:
                 response.raise_for_status()
-                return await response.json()
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+                return _table(parse_json(await response.read()))
+        except (aiohttp.ClientError, TimeoutError, OSError, UndecodableError) as error:
             raise self._to_platform_error(path, error) from error
 
     async def _wait_for_rate_limit(self, path: str) -> None:
@@ -277,6 +283,15 @@
             await asyncio.sleep(wait_s)
         self._on_call(path.rpartition("/")[2])
 
+    @contextmanager
+    def _decoding(self, step: str) -> Iterator[None]:
+        """Turn an answer that cannot be decoded into the error of a failed call."""
+        try:
+            with decoding("answer"):
+                yield
+        except UndecodableError as error:
+            raise self._to_platform_error(step, error) from error
+
     def _to_platform_error(self, step: str, error: Exception) -> PlatformError:
         reason = str(error) or type(error).__name__
         return PlatformError(reason, step=step, peer=self._settings.url)
@@ -317,17 +332,23 @@
 def _decode_watch_result(line: bytes) -> dict[str, Any]:
     if not line.strip():
         return {}
-    result = json.loads(line)["result"]
+    with decoding("watch"):
+        result = _table(parse_json(line)["result"])
     if result.get("canceled"):
-        raise ValueError("the store cancelled the watch")
+        raise UndecodableError("the store cancelled the watch")
     return result
 
 
 def _decode_event(event: dict[str, Any]) -> StoredItem:
-    stored = _decode_item(event["kv"])
-    if event.get("type") == "DELETE":
-        return attrs.evolve(stored, value=None)
-    return stored
+    with decoding("event"):
+        stored = _decode_item(event["kv"])
+        return attrs.evolve(stored, value=None) if event.get("type") == "DELETE" else stored
+
+
+def _table(document: Any) -> dict[str, Any]:
+    if not isinstance(document, dict):
+        raise UndecodableError("expected a JSON object")
+    return document
 
 
 def _decode_item(kv: dict[str, Any]) -> StoredItem:
--- a/src/sycamorebay/transport/configuration/registration.py
+++ b/src/sycamorebay/transport/configuration/registration.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import random
+from contextlib import suppress
 
 import attrs
 
@@ -13,6 +14,7 @@
 from sycamorebay.coordination.lease import Lease
 from sycamorebay.coordination.membership import Member
 from sycamorebay.coordination.rate_limit import Backoff
+from sycamorebay.decoding import UndecodableError, check_integer, decoding, parse_json
 from sycamorebay.errors import PlatformError
 from sycamorebay.protocol.keys import members_prefix
 from sycamorebay.protocol.reports import EntryReport, encode_report, report_key
@@ -133,7 +135,6 @@
 
 def incarnation_of(value: bytes) -> int:
     """Return the incarnation of a stored registration; 0 if it cannot be decoded."""
-    try:
-        return int(json.loads(value)["incarnation"])
-    except (ValueError, KeyError, TypeError):
-        return 0
+    with suppress(UndecodableError), decoding("registration"):
+        return check_integer(parse_json(value)["incarnation"])
+    return 0
--- a/src/sycamorebay/transport/gateway/adapter.py
+++ b/src/sycamorebay/transport/gateway/adapter.py
@@ -8,10 +8,10 @@
 from sycamorebay.state.blocks import Block
 from sycamorebay.state.routing import RoutingTable
 from sycamorebay.state.server_entries import ServerEntry
+from sycamorebay.transport.gateway.change_feed import ChangeFeed
 from sycamorebay.transport.gateway.connection_pool import ConnectionPool
 from sycamorebay.transport.gateway.counters import Counters
 from sycamorebay.transport.gateway.crash_reports import QuarantineStore
-from sycamorebay.transport.gateway.store_sync import ChangeFeed
 
 
 class Documents(DocumentOrder, Protocol):
@@ -34,7 +34,7 @@
 
         Raises
         ------
-        ValueError, TypeError
+        UndecodableError
             If the value cannot be decoded.
         """
         ...
@@ -44,7 +44,7 @@
 
         Raises
         ------
-        ValueError, TypeError
+        UndecodableError
             If the value cannot be decoded.
         """
         ...
@@ -54,7 +54,7 @@
 
         Raises
         ------
-        ValueError, TypeError
+        UndecodableError
             If the value cannot be decoded.
         """
         ...
--- a/src/sycamorebay/transport/gateway/counters.py
+++ b/src/sycamorebay/transport/gateway/counters.py
@@ -80,6 +80,9 @@
         self.peer_fetches = 0
         self.peer_fetch_failures = 0
         self.undecodable = 0
+        self.items_not_applied = 0
+        self.deliveries_failed = 0
+        self.tasks_failed = 0
         self.refusals_by_step: dict[tuple[str, str], int] = {}
         self.answered = LatencyHistogram()
         self.backend = LatencyHistogram()
@@ -89,6 +92,10 @@
         key = (refusal.tag, refusal.step)
         self.refusals_by_step[key] = self.refusals_by_step.get(key, 0) + 1
 
+    def on_task_failed(self) -> None:
+        """Count a background task that ended with an error."""
+        self.tasks_failed += 1
+
     def text(self, log_lines_dropped: int, open_connections: int) -> bytes:
         """Return all metrics in the Prometheus text format.
 
--- a/src/sycamorebay/transport/gateway/exposition.py
+++ b/src/sycamorebay/transport/gateway/exposition.py
@@ -50,6 +50,9 @@
     "peer_fetches": "Copies of the store requested from other daemons.",
     "peer_fetch_failures": "Copies of the store that other daemons did not deliver.",
     "undecodable": "Items of the store that could not be read.",
+    "items_not_applied": "Items of the store whose handling ended with an error.",
+    "deliveries_failed": "Changes of the store that were handed on again after an error.",
+    "tasks_failed": "Background tasks that ended with an error and were started again.",
 }
 
 
--- a/src/sycamorebay/transport/gateway/gateway.py
+++ b/src/sycamorebay/transport/gateway/gateway.py
@@ -20,7 +20,7 @@
 from sycamorebay.protocol.store_items import encode_copy
 from sycamorebay.state.routing import RoutingTable
 from sycamorebay.state.server_entries import ServerEntries, ServerEntry
-from sycamorebay.state.store_versions import VersionedItem, parse_version
+from sycamorebay.state.store_versions import parse_version
 from sycamorebay.transport.background import BackgroundTask, run_in_background
 from sycamorebay.transport.gateway.adapter import Documents, FeedFactory
 from sycamorebay.transport.gateway.announcement_recorder import AnnouncementRecorder
@@ -38,6 +38,7 @@
 from sycamorebay.transport.gateway.settings import GatewaySettings
 from sycamorebay.transport.gateway.slow_callers import SlowCallers
 from sycamorebay.transport.gateway.sockets import close_port, split_address
+from sycamorebay.transport.gateway.store_changes import StoreChanges
 from sycamorebay.transport.gateway.store_sync import COPY_PATH, StoreSync
 from sycamorebay.transport.gateway.ticks import TickTask
 
@@ -52,7 +53,6 @@
 TASK_RESTART_DELAY_S = 0.1
 LAST_ACCEPT_S = 0.1
 LISTEN_BACKLOG = 512
-MAX_LOGGED_FAULTS = 8
 
 _log = log.get_logger("gateway")
 
@@ -83,7 +83,6 @@
         log_writer: LogWriter,
     ) -> None:
         self._settings = settings
-        self._documents = documents
         self._log_writer = log_writer
         self._loop = asyncio.get_running_loop()
         self._counters = Counters()
@@ -98,12 +97,13 @@
         )
         seeds = [split_address(seed) for seed in settings.seeds if seed != settings.datagrams]
         store = open_feed(self._pool, self._counters)
+        self._store_changes = StoreChanges(documents, self._entries, self._counters, self)
         self._store_sync = StoreSync(
             Candidate(own, True),
             store,
             self._pool,
             self._counters,
-            self._on_store_changes,
+            self._store_changes.apply,
             random.Random(),
             first_start=settings.first_start,
             order=documents,
@@ -149,7 +149,6 @@
             body_wait_s=partial(body_wait_s, header_codec),
         )
         self._stopping = asyncio.Event()
-        self._routing_era = 0
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then stop gracefully.
@@ -179,7 +178,9 @@
                 domains=settings.domain_count,
                 link_mbps=settings.link_mbps,
             )
-            async with run_in_background(self._background_tasks(), TASK_RESTART_DELAY_S):
+            async with run_in_background(
+                self._background_tasks(), TASK_RESTART_DELAY_S, self._counters.on_task_failed
+            ):
                 await self._stopping.wait()
                 await self._stop(caller_server)
         _log.warning("stopped", log_lines_dropped=self._log_writer.dropped)
@@ -245,33 +246,10 @@
         """Log SIGHUP and ignore it; all that may change at run time comes from the store."""
         _log.warning("reload ignored", settings="unchanged")
 
-    def _on_store_changes(self, changed: list[VersionedItem], keep_missing_until: float) -> None:
-        now = self._loop.time()
-        servers_changed = False
-        for item in changed:
-            if self._documents.is_routing(item.key):
-                self._on_routing(item)
-            elif (fingerprint := self._documents.blocked_fingerprint(item.key)) is not None:
-                self._on_block(fingerprint, item)
-            else:
-                servers_changed = self._on_server(now, item, keep_missing_until) or servers_changed
-        if servers_changed:
-            self._on_servers(now)
-
-    def _on_block(self, fingerprint: str, item: VersionedItem) -> None:
-        if item.value is None:
-            self._crashes.on_block(fingerprint, None)
-            return
-        try:
-            block = self._documents.read_block(item.value)
-        except (ValueError, TypeError) as error:
-            self._counters.undecodable += 1
-            _log.warning("block could not be decoded", key=item.key, reason=str(error))
-            return
-        if item.forgotten:
-            self._crashes.on_block_forgotten(fingerprint, block)
-        else:
-            self._crashes.on_block(fingerprint, block)
+    @property
+    def crashes(self) -> CrashReports:
+        """What is known of requests that crash their servers."""
+        return self._crashes
 
     def _on_probed(self, server_id: str, failed: bool) -> None:
         self._peers.loads.on_load_changed(server_id, failed)
@@ -279,79 +257,18 @@
         if entry is not None and not failed:
             self._crashes.on_answer(entry)
 
-    def _on_routing(self, item: VersionedItem) -> None:
-        if item.value is None:
-            return
-        try:
-            routing = self._documents.read_routing(item.value)
-        except (ValueError, TypeError) as error:
-            self._counters.undecodable += 1
-            _log.warning(
-                "configuration could not be decoded", version=str(item.version), reason=str(error)
-            )
-            return
-        current = self._forwarder.routing
-        if item.forgotten and current is not None and current.version >= routing.version:
-            return
-        # After a restore of the store, an earlier number may be the operator's next.
-        is_same_era = item.version.era == self._routing_era
-        if current is not None and current.version >= routing.version and is_same_era:
-            _log.warning(
-                "older configuration ignored", version=routing.version, store=str(item.version)
-            )
-            return
-        self._routing_era = item.version.era
+    @property
+    def routing(self) -> RoutingTable | None:
+        """The routing table in force."""
+        return self._forwarder.routing
+
+    def on_routing(self, routing: RoutingTable) -> None:
+        """Put a routing table in force."""
         self._forwarder.on_routing(routing)
         self._caller_listener.request_limits = routing.request_limits
-        _log.warning(
-            "configuration in force",
-            version=routing.version,
-            routes=len(routing.routes),
-            store=str(item.version),
-        )
-        self._report_faults(routing)
-
-    def _report_faults(self, routing: RoutingTable) -> None:
-        """Log and count what could not be decoded in a routing table."""
-        unreadable = [f"route {route.name}: {route.reason}" for route in routing.unreadable_routes]
-        faults = [*unreadable, *routing.faults]
-        if not faults:
-            return
-        self._counters.undecodable += len(faults)
-        _log.warning(
-            "configuration decoded in part",
-            version=routing.version,
-            faults=faults[:MAX_LOGGED_FAULTS],
-            count=len(faults),
-        )
-
-    def _on_server(self, now: float, item: VersionedItem, keep_missing_until: float) -> bool:
-        server_id = self._documents.server_id(item.key)
-        if server_id is None:
-            return False
-        if item.value is None:
-            _log.info(
-                "server entry removed",
-                server=server_id,
-                forgotten=item.forgotten,
-                kept_s=round(max(0.0, keep_missing_until - now), 3),
-            )
-            return self._entries.remove(now, server_id, keep_missing_until)
-        try:
-            entry = self._documents.read_server(server_id, item.value)
-        except (ValueError, TypeError) as error:
-            self._counters.undecodable += 1
-            _log.warning("server entry could not be decoded", server=server_id, reason=str(error))
-            return False
-        _log.info(
-            "server entry received",
-            server=server_id,
-            leaving=entry.leaving,
-            version=str(item.version),
-        )
-        return self._entries.put(entry)
 
-    def _on_servers(self, now: float) -> None:
+    def on_servers(self, now: float) -> None:
+        """Place requests on the servers whose entries are known now."""
         self._placer.on_servers(now, self._entries)
         self._subset.on_servers(self._entries)
         self._peers.loads.on_servers()
@@ -390,7 +307,7 @@
         now = self._loop.time()
         self._placer.subset = self._subset if self._peers.in_large_fleet else None
         if self._entries.expire(now):
-            self._on_servers(now)
+            self.on_servers(now)
         self._on_capacity()
 
     def _is_connected(self, server_id: str) -> bool:
--- a/src/sycamorebay/transport/gateway/store_sync.py
+++ b/src/sycamorebay/transport/gateway/store_sync.py
@@ -10,7 +10,6 @@
 import asyncio
 import random
 from collections.abc import Callable, Sequence
-from typing import Protocol
 
 import attrs
 
@@ -19,6 +18,7 @@
 from sycamorebay.coordination.rate_limit import Backoff
 from sycamorebay.coordination.readers import Candidate, ReaderSelection
 from sycamorebay.coordination.store_cache import REWRITE_S, StoreCache
+from sycamorebay.decoding import UndecodableError
 from sycamorebay.errors import PlatformError
 from sycamorebay.protocol.store_items import CacheCopy, decode_copy
 from sycamorebay.state.store_versions import (
@@ -27,9 +27,11 @@
     VersionedItem,
     VersionedListing,
 )
+from sycamorebay.transport.gateway.change_feed import ChangeFeed, ChangesLostError
 from sycamorebay.transport.gateway.client import AnswerError, ConnectError
 from sycamorebay.transport.gateway.connection_pool import ConnectionPool
 from sycamorebay.transport.gateway.counters import Counters
+from sycamorebay.transport.gateway.delivery import Delivery
 from sycamorebay.transport.gateway.peer import Peer
 from sycamorebay.transport.gateway.peers import Peers
 
@@ -64,50 +66,6 @@
 _log = log.get_logger("following")
 
 
-class ChangesLostError(PlatformError):
-    """The store no longer holds the changes after the requested version, or was restored."""
-
-
-class ChangeFeed(Protocol):
-    """The interface of the store that a reader uses."""
-
-    async def list_all(self) -> VersionedListing:
-        """Return all items and the version of the listing.
-
-        Raises
-        ------
-        PlatformError
-            If the call fails.
-        """
-        ...
-
-    async def changes(
-        self, after: StoreVersion, wait_s: float
-    ) -> tuple[list[VersionedItem], StoreVersion]:
-        """Wait for changes after a version.
-
-        Parameters
-        ----------
-        after : StoreVersion
-            Version that the caller has.
-        wait_s : float
-            Longest time to wait, in seconds.
-
-        Returns
-        -------
-        tuple of (list of VersionedItem, StoreVersion)
-            The changed items, none if the time is over, and the version that they lead to.
-
-        Raises
-        ------
-        ChangesLostError
-            If the store no longer holds the changes after this version, or is in a later era.
-        PlatformError
-            If the call fails.
-        """
-        ...
-
-
 class StoreSync:
     """Background task that keeps the cache current, from the store or from peers.
 
@@ -158,7 +116,6 @@
         self._feed = feed
         self._pool = pool
         self._counters = counters
-        self._on_changed = on_changed
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self._selection = ReaderSelection(self._rng, self._loop.time(), first_start)
@@ -173,6 +130,8 @@
         self._reading = False
         self._tasks: set[asyncio.Task[None]] = set()
         self.cache = StoreCache(order, self._loop.time)
+        self._delivery = Delivery(self.cache, on_changed, counters)
+        self._has_run = False
         self.confirmed_at = float("-inf")
         self.peers: Peers | None = None
 
@@ -266,7 +225,7 @@
             path = f"{COPY_PATH}?after={after}"
             answer = await self._pool.get(peer.control, path, PEER_FETCH_TIMEOUT_S)
             copy = decode_copy(answer.body)
-        except (TimeoutError, ConnectError, AnswerError, ValueError) as error:
+        except (TimeoutError, ConnectError, AnswerError, UndecodableError) as error:
             self._counters.peer_fetch_failures += 1
             _log.warning(
                 "could not fetch the store copy of a peer", peer=peer.name, reason=repr(error)
@@ -296,8 +255,15 @@
         return CacheCopy(changes, cache.version, version)
 
     async def run(self) -> None:
-        """Read from the store while this daemon has to, until cancelled."""
+        """Read from the store while this daemon has to, until cancelled.
+
+        A run after one that failed starts over from a whole listing.
+        """
         backoff = Backoff(self._rng)
+        if self._has_run:
+            self._needs_listing = True
+            self._delivery.require_all()
+        self._has_run = True
         while True:
             selected = self._is_selected()
             self._reading = selected or self._is_stale()
@@ -425,7 +391,7 @@
             kept = [item for item in self.cache.kept_items() if item.key not in changed_keys]
             changed = changed + kept
         self._schedule_release()
-        if not changed:
+        if not changed and not self._delivery.needs_all:
             return
         self._detect_outage_end()
         _log.info(
@@ -435,7 +401,7 @@
             count=len(changed),
             version=str(self.cache.version),
         )
-        self._on_changed(changed, self._keep_missing_until)
+        self._delivery.deliver(changed, self._keep_missing_until)
 
     def _on_restored(self, changed: list[VersionedItem], source: str, before: StoreVersion) -> None:
         """Keep missing server entries for a while, as their servers have to write them again."""
--- a/src/sycamorebay/transport/operations/ranges.py
+++ b/src/sycamorebay/transport/operations/ranges.py
@@ -13,6 +13,7 @@
 from sycamorebay import log
 from sycamorebay.coordination.membership import Member
 from sycamorebay.coordination.ranges import EntryRange
+from sycamorebay.decoding import UndecodableError, decoding, parse_json
 from sycamorebay.errors import PlatformError
 from sycamorebay.settings import OperationSettings, PlatformSettings
 from sycamorebay.transport.configuration.platform import Listing, Store
@@ -163,7 +164,7 @@
             )
         listing = await self._store.read_prefix(self._prefix)
         self._check_includes_own_write(listing)
-        return tuple(_decode(item.value) for item in listing.items if item.value is not None)
+        return tuple(decode_range(item.value) for item in listing.items if item.value is not None)
 
     async def _write(self) -> bool:
         now = self._clock()
@@ -186,7 +187,7 @@
         for item in listing.items:
             if item.key == self._key and item.value is not None:
                 self._version = item.version
-                if json.loads(item.value)["writes"] == self._writes:
+                if parse_json(item.value)["writes"] == self._writes:
                     return
         raise PlatformError(
             f"stale read: write {self._writes} of the own range expected, not found",
@@ -211,9 +212,17 @@
     ).encode()
 
 
-def _decode(value: bytes) -> EntryRange:
+def decode_range(value: bytes) -> EntryRange:
+    """Return the range in a stored value.
+
+    Raises
+    ------
+    PlatformError
+        If the value is not the JSON of a range.
+    """
     try:
-        data = json.loads(value)
-        return EntryRange(Member(**data["member"]), float(data["since"]), float(data["until"]))
-    except (ValueError, KeyError, TypeError) as error:
+        with decoding("range"):
+            data = parse_json(value)
+            return EntryRange(Member(**data["member"]), float(data["since"]), float(data["until"]))
+    except UndecodableError as error:
         raise PlatformError(f"stored range cannot be decoded: {error}", step="decode") from error
