Bound bodies by what a gateway holds of them, not by their bytes alone

Cause: each piece of a body was an object in a list, some 50 bytes beside its content, while every limit counted the payload. Traced: an answer of 4 MB in chunks of 20 bytes took 32 MB, all of it pieces. Found beside it: the body of a refused upload stayed until garbage was collected, while its room was given back (736 MB from four connections whose uploads were each refused at 32 MiB).

Change: small pieces are joined; one meter bounds chunks, trailers and framing on both sides (400 to callers, a failed server's answer), with a counter and a log line; trailers are dropped; a refused or lost upload's body is dropped with its room.

--- a/src/sycamorebay/transport/gateway/body_stream.py
+++ b/src/sycamorebay/transport/gateway/body_stream.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from collections.abc import Callable
 from typing import Protocol
 
+from sycamorebay.protocol.pieces import PieceBuffer
+
 # Bytes that are held before the server is held back, and below which it may go on.
 HIGH_WATER_BYTES = 128 * 1024
 LOW_WATER_BYTES = 32 * 1024
@@ -58,8 +59,7 @@
         self.closed = False
         self.aborted = False
         self._error = ""
-        self._pieces: deque[bytes] = deque()
-        self._held_bytes = 0
+        self._pieces = PieceBuffer()
         self._paused = False
         self._changed = asyncio.Event()
         self._on_close: list[Callable[[bool], object]] = []
@@ -84,11 +84,8 @@
             await self._changed.wait()
         if self._error:
             raise StreamError(self._error)
-        if not self._pieces:
-            return b""
-        piece = self._pieces.popleft()
-        self._held_bytes -= len(piece)
-        if self._paused and self._held_bytes <= LOW_WATER_BYTES:
+        piece = self._pieces.pop()
+        if self._paused and self._pieces.size <= LOW_WATER_BYTES:
             self._paused = False
             self._source.resume_reading()
         return piece
@@ -97,9 +94,8 @@
         """Add bytes that arrived."""
         if self.closed:
             return
-        self._pieces.append(data)
-        self._held_bytes += len(data)
-        if self._held_bytes > HIGH_WATER_BYTES and not self._paused:
+        self._pieces.add(data)
+        if self._pieces.size > HIGH_WATER_BYTES and not self._paused:
             self._paused = True
             self._source.pause_reading()
         self._changed.set()
@@ -121,6 +117,7 @@
         if self.closed:
             return
         self.aborted = True
+        self._pieces.pop_all()
         self._close("given up")
         self._source.abort()
 
--- a/src/sycamorebay/transport/gateway/client.py
+++ b/src/sycamorebay/transport/gateway/client.py
@@ -10,9 +10,13 @@
 import attrs
 import httptools
 
+from sycamorebay import log
+from sycamorebay.protocol.framing import FREE_FRAMING_BYTES, FramingError, FramingMeter
 from sycamorebay.protocol.header_names import BODILESS_STATUSES, RawHeaders
+from sycamorebay.protocol.pieces import PieceBuffer
 from sycamorebay.transport.gateway.body_stream import BodyStream
 from sycamorebay.transport.gateway.buffer_budget import BufferBudget
+from sycamorebay.transport.gateway.counters import Counters
 from sycamorebay.transport.gateway.sockets import set_socket_options
 
 # Applies to servers that send no keep-alive timeout.
@@ -22,9 +26,10 @@
 KEEP_ALIVE_MARGIN_S = 1.0
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 # Of status lines, headers, interim answers and the framing of chunks, complete or not.
-MAX_HEAD_BYTES = 64 * 1024
-# Bytes of chunk framing allowed for each byte of a body; a chunk of one byte needs five.
-MAX_FRAMING_RATIO = 8
+MAX_HEAD_BYTES = FREE_FRAMING_BYTES
+# A header takes some 200 bytes of memory beside its own.
+MAX_HEADERS = 512
+_log = log.get_logger("client")
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*([0-9]{1,6})")
 
 
@@ -74,6 +79,8 @@
     ----------
     budget : BufferBudget
         Limits the bytes of answers held by all connections.
+    counters : Counters, optional
+        Metrics of this daemon.
 
     Attributes
     ----------
@@ -85,11 +92,11 @@
         When it became idle, in seconds on the clock of its pool.
     """
 
-    def __init__(self, budget: BufferBudget) -> None:
+    def __init__(self, budget: BufferBudget, counters: Counters | None = None) -> None:
         self._budget = budget
+        self._counters = counters or Counters()
         self._held_bytes = 0
-        self._received_bytes = 0
-        self._body_bytes = 0
+        self._framing = FramingMeter()
         self._transport: asyncio.Transport | None = None
         self._answer: asyncio.Future[ClientAnswer] | None = None
         self._stream: BodyStream | None = None
@@ -138,7 +145,7 @@
         if not self.open:
             raise ConnectError("the connection was closed")
         assert self._transport is not None
-        self._received_bytes = self._body_bytes = 0
+        self._framing.reset()
         self._accepts = accepts
         self._bodiless_method = bodiless
         self._stream_above = stream_above
@@ -186,16 +193,23 @@
         if not self._is_receiving() or self._parser is None:
             self.abort()
             return
-        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
+            # The parser reports only complete heads and chunks, so an endless one shows here.
+            self._framing.on_received(len(data))
+        except FramingError as error:
+            self._fail_framing(error)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._fail(f"the answer is malformed ({type(error).__name__})")
-            return
-        # The parser reports only complete heads and chunks, so an endless one shows here.
-        framing_bytes = self._received_bytes - self._body_bytes
-        if framing_bytes > MAX_HEAD_BYTES + MAX_FRAMING_RATIO * self._body_bytes:
-            self._fail("the answer has too many bytes outside its body")
+            # The parser passes on an error of a callback as the context of its own.
+            if isinstance(error.__context__, FramingError):
+                self._fail_framing(error.__context__)
+            else:
+                self._fail(f"the answer is malformed ({type(error).__name__})")
+
+    def _fail_framing(self, error: FramingError) -> None:
+        self._counters.framing_refused += 1
+        _log.info("answer ended for its framing", reason=str(error))
+        self._fail(f"the answer is out of proportion: {error}")
 
     def eof_received(self) -> bool:
         """Record that the server closed its side in an orderly way."""
@@ -218,7 +232,7 @@
     def _reset_message(self) -> None:
         self._status = 0
         self._headers: RawHeaders = []
-        self._body: list[bytes] = []
+        self._body = PieceBuffer()
         self._in_body = False
         self._framed = False
         self._discarded = False
@@ -228,7 +242,11 @@
         self._reset_message()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header."""
+        """Add a header; trailers are ignored."""
+        if self._in_body:
+            return
+        if len(self._headers) >= MAX_HEADERS:
+            raise FramingError("too many headers")
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -272,18 +290,22 @@
         self._stream = BodyStream(self, size)
         self._answer.set_result(ClientAnswer(self._status, self._headers, b"", self._stream))
 
+    def on_chunk_header(self) -> None:
+        """Count a chunk."""
+        self._framing.on_chunk()
+
     def on_body(self, body: bytes) -> None:
-        """Add a chunk of the body; fail the answer if it is too large for the memory."""
-        self._body_bytes += len(body)
+        """Add a piece of the body; fail the answer if it is too large for the memory."""
+        self._framing.on_body(len(body))
         if self._stream is not None:
             self._stream.feed(body)
-        elif self._body_bytes > MAX_ANSWER_BYTES:
+        elif self._framing.body_bytes > MAX_ANSWER_BYTES:
             self._fail("the answer is too large")
         elif self._discarded:
             return
         elif self._budget.take(len(body)):
             self._held_bytes += len(body)
-            self._body.append(body)
+            self._body.add(body)
         else:
             self._fail("the answers in progress take too much memory")
 
@@ -305,7 +327,7 @@
             return
         self._check_request_is_sent()
         self._update_idle_timeout()
-        self._answer.set_result(ClientAnswer(self._status, self._headers, b"".join(self._body)))
+        self._answer.set_result(ClientAnswer(self._status, self._headers, self._body.pop_all()))
 
     def _end_stream(self) -> None:
         assert self._stream is not None
@@ -325,7 +347,7 @@
                 self.idle_s = max(0.0, int(found[1]) - KEEP_ALIVE_MARGIN_S)
 
     def _release(self) -> None:
-        self._body = []
+        self._body = PieceBuffer()
         self._budget.give_back(self._held_bytes)
         self._held_bytes = 0
 
--- a/src/sycamorebay/transport/gateway/connection_pool.py
+++ b/src/sycamorebay/transport/gateway/connection_pool.py
@@ -14,6 +14,7 @@
     Connection,
     request_head,
 )
+from sycamorebay.transport.gateway.counters import Counters
 from sycamorebay.transport.gateway.sockets import split_address
 
 CONNECT_TIMEOUT_S = 0.4
@@ -27,10 +28,15 @@
     ----------
     clock : callable
         Returns seconds on a monotonic clock.
+    counters : Counters, optional
+        Metrics of this daemon.
     """
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self, clock: Callable[[], float] = time.monotonic, counters: Counters | None = None
+    ) -> None:
         self._clock = clock
+        self._counters = counters or Counters()
         self._budget = BufferBudget()
         self._idle_by_address: dict[str, list[Connection]] = {}
 
@@ -147,7 +153,7 @@
             host, port = split_address(address)
             async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: Connection(self._budget), host, port
+                    lambda: Connection(self._budget, self._counters), host, port
                 )
         except TimeoutError as error:
             raise ConnectError("connecting took too long") from error
--- a/src/sycamorebay/transport/gateway/exposition.py
+++ b/src/sycamorebay/transport/gateway/exposition.py
@@ -33,6 +33,7 @@
     "requests_blocked": "Writes to the store of requests that crash their servers.",
     "answers_ended_early": "Large answers of which callers got a part only.",
     "slow_callers_closed": "Connections closed since their callers read too slowly.",
+    "framing_refused": "Requests and answers ended since their framing was out of proportion.",
     "store_calls": "Calls to the store.",
     "store_failures": "Calls to the store that failed.",
     "store_histories_lost": "Watches of the store whose history was no longer there.",
--- a/src/sycamorebay/transport/gateway/gateway.py
+++ b/src/sycamorebay/transport/gateway/gateway.py
@@ -86,7 +86,7 @@
         self._log_writer = log_writer
         self._loop = asyncio.get_running_loop()
         self._counters = Counters()
-        self._pool = ConnectionPool(self._loop.time)
+        self._pool = ConnectionPool(self._loop.time, self._counters)
         self._entries = ServerEntries()
         self._placer = Placer(settings.failure_domain, random.Random(), self._is_connected)
         own = Contact(
@@ -144,6 +144,7 @@
         self._refresh_tasks_by_service: dict[str, asyncio.Task[None]] = {}
         self._caller_listener = Listener(
             self._forwarder.forward,
+            counters=self._counters,
             may_overlap=self._forwarder.may_overlap,
             slow_callers=SlowCallers(self._counters),
             body_wait_s=partial(body_wait_s, header_codec),
--- a/src/sycamorebay/transport/gateway/listener.py
+++ b/src/sycamorebay/transport/gateway/listener.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from sycamorebay import log
 from sycamorebay.protocol.header_names import BODILESS_STATUSES, RawHeaders
 from sycamorebay.protocol.request_head import TOO_SLOW, HeadFault
 from sycamorebay.state.routing import RequestLimits
@@ -26,6 +27,7 @@
 )
 from sycamorebay.transport.gateway.counters import Counters
 from sycamorebay.transport.gateway.request_reader import (
+    OUT_OF_PROPORTION,
     RequestError,
     RequestHead,
     RequestReader,
@@ -40,6 +42,8 @@
 BODY_TOO_SLOW = HeadFault(408, "the request's body took too long")
 NO_ROOM = HeadFault(503, "too many large requests are open")
 
+_log = log.get_logger("callers")
+
 
 Handler = Callable[[CallerRequest], Awaitable[CallerAnswer]]
 
@@ -60,6 +64,8 @@
         Whether connections are closed after their open requests are answered.
     connections : set of CallerConnection
         The open connections.
+    counters : Counters
+        Metrics of this daemon.
     slow_callers : SlowCallers
         Bounds the bytes of answers that wait for callers.
     bodies : BodyReservations
@@ -73,6 +79,7 @@
     may_overlap: Callable[[CallerRequest], bool] = lambda _: False
     stopping: bool = False
     connections: set[CallerConnection] = attrs.field(factory=set)
+    counters: Counters = attrs.field(factory=Counters)
     slow_callers: SlowCallers = attrs.field(factory=lambda: SlowCallers(Counters()))
     bodies: BodyReservations = attrs.field(factory=BodyReservations)
     body_wait_s: Callable[[RawHeaders], float] = lambda _: DEFAULT_WAIT_S
@@ -194,6 +201,9 @@
         try:
             self._reader.feed(data)
         except RequestError as error:
+            if error.fault is OUT_OF_PROPORTION:
+                self._listener.counters.framing_refused += 1
+                _log.info("request refused for its framing", caller=self._reader.caller)
             self._refuse(error.fault)
             return
         if self._reader.in_head:
@@ -240,6 +250,8 @@
         return self._reservation is not None and not self._reservation.granted
 
     def _release_reservation(self) -> None:
+        """Give back the room of a body that is not whole, and drop what has arrived of it."""
+        self._reader.drop_body()
         if self._reservation is not None:
             self._reservation.release()
             self._reservation = None
--- a/src/sycamorebay/transport/gateway/request_reader.py
+++ b/src/sycamorebay/transport/gateway/request_reader.py
@@ -8,7 +8,9 @@
 import attrs
 import httptools
 
+from sycamorebay.protocol.framing import FramingError, FramingMeter
 from sycamorebay.protocol.header_names import RawHeaders
+from sycamorebay.protocol.pieces import PieceBuffer
 from sycamorebay.protocol.request_head import (
     MALFORMED,
     TOO_LARGE,
@@ -20,6 +22,7 @@
 from sycamorebay.state.routing import RequestLimits
 from sycamorebay.transport.gateway.caller_messages import CallerRequest
 
+OUT_OF_PROPORTION = HeadFault(400, "the request's framing is out of proportion to its body")
 BODY_TOO_LARGE = HeadFault(413, "the request's body is too large")
 
 
@@ -99,6 +102,8 @@
         Whether a request has begun and is not complete.
     in_head : bool
         Whether its head is not complete.
+    steps : int
+        Headers, chunks and requests that were parsed since the start.
     """
 
     def __init__(self, handler: RequestHandler, clock: Callable[[], float]) -> None:
@@ -110,13 +115,16 @@
         self.in_message = False
         self.in_head = False
         self._begun_at = 0.0
+        self._begun_count = 0
+        self.steps = 0
         self._target = b""
         self._headers: RawHeaders = []
-        self._body: list[bytes] = []
+        self._body = PieceBuffer()
+        self._framing = FramingMeter()
         self._size = 0
         self._is_chunked = False
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes | memoryview) -> None:
         """Parse received bytes.
 
         Raises
@@ -124,9 +132,18 @@
         RequestError
             If a request is refused; nothing more may be parsed then.
         """
+        was_in_body = self.in_message and not self.in_head
+        begun = self._begun_count
         try:
             self._parser.feed_data(data)
+            # The parser reports neither trailers nor extensions of chunks that are not complete.
+            if was_in_body and begun == self._begun_count:
+                self._framing.on_received(len(data))
+        except FramingError as error:
+            raise RequestError(OUT_OF_PROPORTION) from error
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            if isinstance(error.__context__, FramingError):
+                self._fault = OUT_OF_PROPORTION
             raise RequestError(self._fault or MALFORMED) from error
 
     def on_message_begin(self) -> None:
@@ -134,7 +151,9 @@
         self.in_message = self.in_head = True
         self._target = b""
         self._headers = []
-        self._body = []
+        self._body = PieceBuffer()
+        self._framing.reset()
+        self._begun_count += 1
         self._size = 0
         self._handler.on_request_begin()
 
@@ -145,6 +164,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; trailers are ignored."""
+        self.steps += 1
         if self.in_head:
             self._headers.append((name.lower(), value))
             # 4 bytes for the colon, the space and the line break.
@@ -168,20 +188,26 @@
         head = RequestHead(self._headers, body_size, expects_continue)
         self._handler.on_request_head(head)
 
+    def on_chunk_header(self) -> None:
+        """Count a chunk."""
+        self.steps += 1
+        self._framing.on_chunk()
+
     def on_body(self, body: bytes) -> None:
-        """Add a chunk of the body, and refuse the request if the body is too large."""
+        """Add a piece of the body, and refuse the request if the body is too large."""
+        self._framing.on_body(len(body))
         self._size += len(body)
         if self._size > self._handler.request_limits.body_bytes:
             self._refuse_if(BODY_TOO_LARGE)
         if self._is_chunked:
             self._refuse_if(self._handler.on_chunk(len(body)))
-        self._body.append(body)
+        self._body.add(body)
 
     def on_message_complete(self) -> None:
         """Pass on a whole request."""
         self.in_message = False
         target = (origin_form(self._target) or b"/").decode("latin-1")
-        body, self._body = b"".join(self._body), []
+        body = self._body.pop_all()
         request = CallerRequest(
             method=self._parser.get_method().decode("latin-1"),
             target=target,
@@ -195,6 +221,10 @@
         )
         self._handler.on_request(request, self._parser.should_keep_alive())
 
+    def drop_body(self) -> None:
+        """Drop what has arrived of a body that nobody takes."""
+        self._body.pop_all()
+
     def _add_head_bytes(self, size: int) -> None:
         self._size += size
         if self._size > self._handler.request_limits.head_bytes:
