Bound what a turn of the event loop takes from one connection by its work

Callers saw: beside one upload in chunks of two bytes, a request that takes 3 ms alone waited 3.2 s, beside four 4.6 s; chunks of 20 bytes did the same (1.0 and 3.2 s).

Cause: the event loop reads a fast connection up to 32 times in one turn, and all of it was parsed at once. Ruled out: garbage collection; with the pieces joined the memory stayed at 31 MB and the waits beside chunks of 16 and 20 bytes at 2.1 to 3.7 s.

Change: received bytes are parsed in slices; after 256 steps of work a connection is neither parsed nor read until the next turn. One class for both sides; it also holds back what waits for room, which was parsed to the end of the segment before.

Four new tests, which need the class.

--- a/src/sycamorebay/transport/gateway/client.py
+++ b/src/sycamorebay/transport/gateway/client.py
@@ -17,6 +17,7 @@
 from sycamorebay.transport.gateway.body_stream import BodyStream
 from sycamorebay.transport.gateway.buffer_budget import BufferBudget
 from sycamorebay.transport.gateway.counters import Counters
+from sycamorebay.transport.gateway.paced_feed import PacedFeed
 from sycamorebay.transport.gateway.sockets import set_socket_options
 
 # Applies to servers that send no keep-alive timeout.
@@ -97,6 +98,8 @@
         self._counters = counters or Counters()
         self._held_bytes = 0
         self._framing = FramingMeter()
+        self._feed = PacedFeed(self._parse)
+        self._steps = 0
         self._transport: asyncio.Transport | None = None
         self._answer: asyncio.Future[ClientAnswer] | None = None
         self._stream: BodyStream | None = None
@@ -168,13 +171,11 @@
 
     def pause_reading(self) -> None:
         """Read nothing more, so that the server is held back."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.pause_reading()
+        self._feed.hold_back(True)
 
     def resume_reading(self) -> None:
         """Read on."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.resume_reading()
+        self._feed.hold_back(False)
 
     def abort(self) -> None:
         """Close the connection at once, without flushing its buffers."""
@@ -186,13 +187,19 @@
         """Keep the transport and set its socket options."""
         # uvloop's transports have the methods of asyncio's but do not inherit from them.
         self._transport = cast(asyncio.Transport, transport)
+        self._feed.open(self._transport)
         set_socket_options(transport)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; bytes that belong to no request close the connection."""
+        self._feed.receive(data)
+
+    def _parse(self, data: bytes | memoryview) -> int:
+        """Parse bytes, and return how many steps of work that was."""
         if not self._is_receiving() or self._parser is None:
             self.abort()
-            return
+            return 0
+        self._steps = 0
         try:
             self._parser.feed_data(data)
             # The parser reports only complete heads and chunks, so an endless one shows here.
@@ -205,6 +212,7 @@
                 self._fail_framing(error.__context__)
             else:
                 self._fail(f"the answer is malformed ({type(error).__name__})")
+        return self._steps
 
     def _fail_framing(self, error: FramingError) -> None:
         self._counters.framing_refused += 1
@@ -219,6 +227,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Complete an answer that is delimited by the end of the connection; fail any other."""
         self.reusable = False
+        self._feed.flush()
         ended_in_order = exc is None and self._eof_received
         if ended_in_order and self._in_body and not self._framed and not self._discarded:
             self._complete()
@@ -243,6 +252,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; trailers are ignored."""
+        self._steps += 1
         if self._in_body:
             return
         if len(self._headers) >= MAX_HEADERS:
@@ -292,6 +302,7 @@
 
     def on_chunk_header(self) -> None:
         """Count a chunk."""
+        self._steps += 1
         self._framing.on_chunk()
 
     def on_body(self, body: bytes) -> None:
--- a/src/sycamorebay/transport/gateway/listener.py
+++ b/src/sycamorebay/transport/gateway/listener.py
@@ -26,6 +26,7 @@
     encode_answer,
 )
 from sycamorebay.transport.gateway.counters import Counters
+from sycamorebay.transport.gateway.paced_feed import PacedFeed
 from sycamorebay.transport.gateway.request_reader import (
     OUT_OF_PROPORTION,
     RequestError,
@@ -116,6 +117,7 @@
         self._listener = listener
         self._loop = asyncio.get_running_loop()
         self._reader = RequestReader(self, self._loop.time)
+        self._feed = PacedFeed(self._parse)
         self._reservation: Reservation | None = None
         self._owes_continue = False
         self._transport: asyncio.Transport | None = None
@@ -127,7 +129,6 @@
         self._timer: asyncio.TimerHandle | None = None
         self._fault: HeadFault | None = None
         self._ignores_input = False
-        self._read_paused = False
 
     @property
     def request_limits(self) -> RequestLimits:
@@ -137,7 +138,9 @@
     @property
     def busy(self) -> bool:
         """Whether a request is open or being received, or a large answer is being sent."""
-        return bool(self._pending) or self._reader.in_message or self._stream is not None
+        if self._pending or self._stream is not None:
+            return True
+        return self._reader.in_message or self._feed.has_rest
 
     @property
     def unsent_bytes(self) -> int:
@@ -160,6 +163,7 @@
         self._transport = cast(asyncio.Transport, transport)
         self._reader.caller = str(transport.get_extra_info("peername", ("",))[0])
         self._listener.connections.add(self)
+        self._feed.open(self._transport)
         set_socket_options(transport)
         self._start_timer(self._listener.request_limits.idle_s)
 
@@ -175,6 +179,7 @@
         self._cancel_timer()
         self._cancel_pending()
         self._release_reservation()
+        self._feed.drop()
         if self._stream is not None:
             self._stream.abort()
         # A sender that waits for the caller finds the stream aborted.
@@ -191,13 +196,18 @@
         self._listener.slow_callers.discard(self)
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes, and start the timeout of an incomplete request."""
+        """Parse received bytes, some of them later if they are much work."""
+        self._feed.receive(data)
+
+    def _parse(self, data: bytes | memoryview) -> int:
+        """Parse bytes, start the timeout of an incomplete request, and return the steps of work."""
         if self._listener.stopping and self._pending and not self._reader.in_message:
             # The answer to the last open request closes the connection. Later requests are ignored;
             # otherwise a caller that sends without a pause would keep the connection open.
             self._ignores_input = True
         if self._ignores_input:
-            return
+            return 0
+        steps = self._reader.steps
         try:
             self._reader.feed(data)
         except RequestError as error:
@@ -205,11 +215,12 @@
                 self._listener.counters.framing_refused += 1
                 _log.info("request refused for its framing", caller=self._reader.caller)
             self._refuse(error.fault)
-            return
+            return 0
         if self._reader.in_head:
             self._start_timer_once(self.request_limits.head_s)
         elif self._reader.in_message and not self._waits_for_room():
             self._start_timer(self.request_limits.idle_s)
+        return self._reader.steps - steps
 
     def on_request_begin(self) -> None:
         """Stop the timeout of an idle connection."""
@@ -374,13 +385,7 @@
         self._pending.clear()
 
     def _update_back_pressure(self) -> None:
-        assert self._transport is not None
-        holds_back = len(self._pending) >= MAX_PIPELINED or self._waits_for_room()
-        if holds_back and not self._read_paused:
-            self._transport.pause_reading()
-        elif not holds_back and self._read_paused:
-            self._transport.resume_reading()
-        self._read_paused = holds_back
+        self._feed.hold_back(len(self._pending) >= MAX_PIPELINED or self._waits_for_room())
 
     def _refuse(self, fault: HeadFault) -> None:
         self._fault = fault
--- a/tests/test_gateway_tiny_pieces.py
+++ b/tests/test_gateway_tiny_pieces.py
@@ -20,6 +20,7 @@
 from sycamorebay.transport.gateway.caller_messages import CallerAnswer, CallerRequest
 from sycamorebay.transport.gateway.client import AnswerError, ClientAnswer, Connection
 from sycamorebay.transport.gateway.listener import Listener
+from sycamorebay.transport.gateway.paced_feed import SLICE_BYTES, PacedFeed
 from tests.gateway_fleet import config, fleet, route
 from tests.support import asynchronous
 from tests.test_gateway_fuzz import RecordingTransport
@@ -118,6 +119,62 @@
         self.assertLessEqual(buffer.object_count, 100_000 // JOINED_BYTES + 1)
 
 
+class PacedFeedTest(testtools.TestCase):
+    def create(self, steps_per_byte: int) -> tuple[PacedFeed, PausableTransport, list[bytes]]:
+        fed: list[bytes] = []
+
+        def take(data: bytes | memoryview) -> int:
+            fed.append(bytes(data))
+            return steps_per_byte * len(data)
+
+        feed, transport = PacedFeed(take), PausableTransport()
+        feed.open(transport)
+        return feed, transport, fed
+
+    @asynchronous
+    async def test_much_work_is_spread_over_turns_in_which_others_run(self):
+        feed, transport, fed = self.create(steps_per_byte=1)
+        data = bytes(range(256)) * 1024
+        feed.receive(data)
+        turns = 0
+        while transport.paused:
+            self.assertLessEqual(len(fed), turns + 1)
+            turns += 1
+            await asyncio.sleep(0)
+        self.assertEqual(len(data) // SLICE_BYTES, turns)
+        self.assertEqual(data, b"".join(fed))
+
+    @asynchronous
+    async def test_large_pieces_are_fed_in_one_turn_and_the_connection_is_read_in_the_next(self):
+        feed, transport, fed = self.create(steps_per_byte=0)
+        feed.receive(b"x" * 16 * SLICE_BYTES)
+        self.assertEqual((16, True, False), (len(fed), transport.paused, feed.has_rest))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        self.assertFalse(transport.paused)
+
+    @asynchronous
+    async def test_a_connection_that_is_held_back_goes_on_with_what_it_had(self):
+        feed, transport, fed = self.create(steps_per_byte=1)
+        feed.receive(b"x" * 3 * SLICE_BYTES)
+        feed.hold_back(True)
+        for _ in range(10):
+            await asyncio.sleep(0)
+        self.assertEqual((1, True), (len(fed), transport.paused))
+        feed.hold_back(False)
+        for _ in range(10):
+            await asyncio.sleep(0)
+        self.assertEqual((3, False), (len(fed), transport.paused))
+
+    @asynchronous
+    async def test_an_ended_connection_loses_nothing_that_was_received(self):
+        feed, _, fed = self.create(steps_per_byte=1)
+        feed.receive(b"x" * 3 * SLICE_BYTES)
+        feed.flush()
+        await asyncio.sleep(0)
+        self.assertEqual(b"x" * 3 * SLICE_BYTES, b"".join(fed))
+
+
 class FramingMeterTest(testtools.TestCase):
     def test_small_chunks_are_bounded_by_the_body(self):
         meter = FramingMeter()
