Start no request after its connection was announced to close

Cause: a large answer's head decides that the connection closes, but what stood behind it was started all the same, and dropped when the body had been sent.

Change: with that head, what was not started is dropped; nothing is read or started after it.

The new test fails on the code before.

--- a/src/sycamorebay/transport/gateway/listener.py
+++ b/src/sycamorebay/transport/gateway/listener.py
@@ -129,6 +129,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._fault: HeadFault | None = None
         self._ignores_input = False
+        self._is_closing = False
 
     @property
     def request_limits(self) -> RequestLimits:
@@ -290,6 +291,8 @@
 
     def _start_runnable(self) -> None:
         """Start the first request, and the following ones that may overlap it."""
+        if self._is_closing:
+            return
         for index, pending in enumerate(self._pending):
             if index and not self._listener.may_overlap(pending.request):
                 return
@@ -340,6 +343,10 @@
         bodiless = pending.request.method == "HEAD" or answer.status in BODILESS_STATUSES
         self._transport.write(encode_answer(answer, keep_alive, bodiless))
         self._listener.slow_callers.close_slowest()
+        if not keep_alive:
+            # What was not started by now never is: its caller takes it as not read.
+            self._is_closing = self._ignores_input = True
+            self._cancel_pending()
         if answer.stream is not None:
             self._stream = answer.stream
             self._sending = self._loop.create_task(self._send(answer.stream, keep_alive))
--- /dev/null
+++ b/tests/test_gateway_pipelines.py
@@ -0,0 +1,89 @@
+"""Tests of pipelined requests on one caller's connection, without a network."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import attrs
+import testtools
+
+from sycamorebay.transport.gateway.body_stream import BodyStream
+from sycamorebay.transport.gateway.caller_messages import CallerAnswer, CallerRequest
+from sycamorebay.transport.gateway.listener import CallerConnection, Listener
+from tests.support import asynchronous
+from tests.test_gateway_fuzz import RecordingTransport
+
+
+class Source:
+    """A server's connection, of which nothing is asked."""
+
+    def pause_reading(self) -> None: ...
+    def resume_reading(self) -> None: ...
+    def abort(self) -> None: ...
+
+
+@attrs.define
+class Pipeline:
+    """A connection whose requests end when the test says so."""
+
+    listener: Listener
+    connection: CallerConnection
+    transport: RecordingTransport
+    started: list[str]
+    answers: dict[str, asyncio.Future[CallerAnswer]]
+
+    def send(self, *paths: str) -> None:
+        request = "GET {} HTTP/1.1\r\nHost: desk.test\r\n\r\n"
+        self.connection.data_received("".join(request.format(path) for path in paths).encode())
+
+    async def answer(self, path: str, answer: CallerAnswer) -> None:
+        self.answers[path].set_result(answer)
+        await self.settle()
+
+    async def settle(self) -> None:
+        for _ in range(10):
+            await asyncio.sleep(0)
+
+
+@asynccontextmanager
+async def pipeline() -> AsyncIterator[Pipeline]:
+    started: list[str] = []
+    answers: dict[str, asyncio.Future[CallerAnswer]] = {}
+
+    async def handle(request: CallerRequest) -> CallerAnswer:
+        started.append(request.path)
+        answers[request.path] = asyncio.get_running_loop().create_future()
+        return await answers[request.path]
+
+    listener = Listener(
+        handle,
+        may_overlap=lambda request: request.path.startswith("/safe"),
+    )
+    connection, transport = listener.create_connection(), RecordingTransport()
+    connection.connection_made(transport)
+    try:
+        yield Pipeline(listener, connection, transport, started, answers)
+    finally:
+        connection.connection_lost(None)
+
+
+class StopTest(testtools.TestCase):
+    @asynchronous
+    async def test_no_request_is_started_after_the_connection_is_announced_to_close(self):
+        for second in ("/download/2", "/unsafe/2"):
+            async with pipeline() as played:
+                played.send("/download/1", second)
+                await played.settle()
+                played.listener.stopping = True
+                stream = BodyStream(Source(), 4)
+                await played.answer("/download/1", CallerAnswer(200, [], stream=stream))
+                self.assertIn(b"connection: close", played.transport.written)
+                self.assertEqual(["/download/1"], played.started)
+                played.send("/safe/3")
+                stream.feed(b"body")
+                stream.end()
+                await played.settle()
+                self.assertEqual(["/download/1"], played.started)
+                self.assertTrue(played.transport.written.endswith(b"\r\n\r\nbody"))
