Start nothing behind a download until it is whole

Cause: an answer of over 1 MiB is passed on while it arrives; if it ends early, the connection has to end, and with it the answers behind it.

Change: nothing is started behind a download, or behind an answer that is being passed on. Safe requests among themselves still overlap.

The new test fails on the code before; "Large answers, in order with others" still pass.

--- a/src/sycamorebay/transport/gateway/forward.py
+++ b/src/sycamorebay/transport/gateway/forward.py
@@ -129,6 +129,11 @@
         route = self._route(request)
         return isinstance(route, Route) and route.kind is RouteKind.SAFE
 
+    def may_be_large(self, request: CallerRequest) -> bool:
+        """Return whether a request's answer is likely to be passed on while it arrives."""
+        route = self._route(request)
+        return isinstance(route, Route) and route.kind is RouteKind.DOWNLOAD
+
     async def forward(self, request: CallerRequest) -> CallerAnswer:
         """Handle one request and return its answer, which may be a refusal.
 
--- a/src/sycamorebay/transport/gateway/gateway.py
+++ b/src/sycamorebay/transport/gateway/gateway.py
@@ -146,6 +146,7 @@
             self._forwarder.forward,
             counters=self._counters,
             may_overlap=self._forwarder.may_overlap,
+            may_be_large=self._forwarder.may_be_large,
             slow_callers=SlowCallers(self._counters),
             body_wait_s=partial(body_wait_s, header_codec),
         )
--- a/src/sycamorebay/transport/gateway/listener.py
+++ b/src/sycamorebay/transport/gateway/listener.py
@@ -61,6 +61,9 @@
         Limits of callers' requests; replaced with each new routing table.
     may_overlap : callable
         Returns whether a pipelined request may start before the requests ahead of it are answered.
+    may_be_large : callable
+        Returns whether a request's answer may be passed on while it arrives. If such an answer ends
+        early, the connection ends with it.
     stopping : bool
         Whether connections are closed after their open requests are answered.
     connections : set of CallerConnection
@@ -78,6 +81,7 @@
     handler: Handler
     request_limits: RequestLimits = attrs.field(factory=RequestLimits)
     may_overlap: Callable[[CallerRequest], bool] = lambda _: False
+    may_be_large: Callable[[CallerRequest], bool] = lambda _: False
     stopping: bool = False
     connections: set[CallerConnection] = attrs.field(factory=set)
     counters: Counters = attrs.field(factory=Counters)
@@ -290,8 +294,11 @@
         self._update_back_pressure()
 
     def _start_runnable(self) -> None:
-        """Start the first request, and the following ones that may overlap it."""
-        if self._is_closing:
+        """Start the first request, and the following ones that may overlap it.
+
+        Behind an answer that may end the connection early, nothing is started until it is whole.
+        """
+        if self._is_closing or self._stream is not None:
             return
         for index, pending in enumerate(self._pending):
             if index and not self._listener.may_overlap(pending.request):
@@ -299,6 +306,8 @@
             if pending.task is None:
                 pending.task = self._loop.create_task(self._run(pending.request))
                 pending.task.add_done_callback(self._on_done)
+            if self._listener.may_be_large(pending.request):
+                return
 
     async def _run(self, request: CallerRequest) -> CallerAnswer:
         return await self._listener.handler(request)
--- a/tests/test_gateway_pipelines.py
+++ b/tests/test_gateway_pipelines.py
@@ -60,6 +60,7 @@
     listener = Listener(
         handle,
         may_overlap=lambda request: request.path.startswith("/safe"),
+        may_be_large=lambda request: request.path.startswith("/download"),
     )
     connection, transport = listener.create_connection(), RecordingTransport()
     connection.connection_made(transport)
@@ -72,7 +73,7 @@
 class StopTest(testtools.TestCase):
     @asynchronous
     async def test_no_request_is_started_after_the_connection_is_announced_to_close(self):
-        for second in ("/download/2", "/unsafe/2"):
+        for second in ("/download/2", "/safe/2"):
             async with pipeline() as played:
                 played.send("/download/1", second)
                 await played.settle()
@@ -87,3 +88,40 @@
                 await played.settle()
                 self.assertEqual(["/download/1"], played.started)
                 self.assertTrue(played.transport.written.endswith(b"\r\n\r\nbody"))
+
+
+class BrokenDownloadTest(testtools.TestCase):
+    @asynchronous
+    async def test_a_download_that_breaks_off_takes_no_started_request_along(self):
+        async with pipeline() as played:
+            played.send("/download/1", "/safe/2")
+            await played.settle()
+            stream = BodyStream(Source(), 4)
+            await played.answer("/download/1", CallerAnswer(200, [], stream=stream))
+            stream.feed(b"bo")
+            stream.fail("broken off")
+            await played.settle()
+            self.assertTrue(played.transport.closed)
+            self.assertEqual(["/download/1"], played.started)
+
+    @asynchronous
+    async def test_requests_behind_a_whole_download_are_answered(self):
+        async with pipeline() as played:
+            played.send("/download/1", "/safe/2", "/safe/3")
+            await played.settle()
+            stream = BodyStream(Source(), 4)
+            await played.answer("/download/1", CallerAnswer(200, [], stream=stream))
+            stream.feed(b"body")
+            stream.end()
+            await played.settle()
+            self.assertEqual(["/download/1", "/safe/2", "/safe/3"], played.started)
+            await played.answer("/safe/2", CallerAnswer(200, []))
+            await played.answer("/safe/3", CallerAnswer(200, []))
+            self.assertEqual(3, played.transport.written.count(b"HTTP/1.1 200"))
+
+    @asynchronous
+    async def test_safe_requests_still_overlap(self):
+        async with pipeline() as played:
+            played.send("/safe/1", "/safe/2", "/download/3", "/safe/4")
+            await played.settle()
+            self.assertEqual(["/safe/1", "/safe/2"], played.started)
