Let bodies of unknown length take room as they arrive, and never wait for it

Cause: such a body waited behind bodies that wait for room, with reading paused; the chunk in the same segment took its room by force, off the queue, and nothing read on or kept its time.

Change: it never waits; its first 16 KiB need no room, as those of bodies with a length, and what finds no room is refused at once. The unit test of a growing body now opens one as the listener does, and asks in addition what is free and what is counted; nothing of it was given up.

--- a/src/sycamorebay/transport/gateway/body_reservations.py
+++ b/src/sycamorebay/transport/gateway/body_reservations.py
@@ -31,9 +31,11 @@
     owner : BodyReservations
         What it is taken from.
     size : int
-        Length of the body in bytes.
+        Bytes of room.
     on_granted : callable
         Called when there is room, if there is none at first.
+    free_bytes : int
+        Bytes of a body of unknown length that need no room.
 
     Attributes
     ----------
@@ -41,9 +43,16 @@
         Whether there is room.
     """
 
-    def __init__(self, owner: BodyReservations, size: int, on_granted: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        owner: BodyReservations,
+        size: int,
+        on_granted: Callable[[], None] = lambda: None,
+        free_bytes: int = 0,
+    ) -> None:
         self._owner = owner
         self._on_granted = on_granted
+        self._free_bytes = free_bytes
         self.size = size
         self.granted = False
 
@@ -59,7 +68,9 @@
 
     def grow(self, size: int) -> bool:
         """Add bytes of a body whose length is not known; return False if there is no room."""
-        return self._owner.grow(self, size)
+        free = min(size, self._free_bytes)
+        self._free_bytes -= free
+        return self._owner.grow(self, size - free)
 
     def release(self) -> None:
         """Give the room back, or stop waiting for it; may be called again."""
@@ -99,6 +110,16 @@
             self._waiting.append(reservation)
         return reservation
 
+    def open(self) -> Reservation:
+        """Return the reservation of a body of unknown length, which takes room as it arrives.
+
+        It never waits: what there is no room for is refused, as the parts of bodies that wait for
+        each other would hold the room for good.
+        """
+        reservation = Reservation(self, 0, free_bytes=SMALL_BODY_BYTES)
+        reservation.granted = True
+        return reservation
+
     def force(self, reservation: Reservation) -> None:
         """Take the room of a waiting reservation, whether there is room or not."""
         self._waiting.remove(reservation)
@@ -107,8 +128,7 @@
 
     def grow(self, reservation: Reservation, size: int) -> bool:
         """Add to a reservation, and return False if there is no room for that."""
-        reservation.force()
-        if self.used + size > self._max_bytes:
+        if size and self.used + size > self._max_bytes:
             return False
         self.used += size
         reservation.size += size
--- a/src/sycamorebay/transport/gateway/listener.py
+++ b/src/sycamorebay/transport/gateway/listener.py
@@ -236,8 +236,10 @@
         self._cancel_timer()
         # While earlier requests are unanswered, a 100 would be taken to concern one of them.
         self._owes_continue = head.expects_continue and not self._pending
-        if head.body_size is None or head.body_size > SMALL_BODY_BYTES:
-            self._reserve(head)
+        if head.body_size is None:
+            self._reservation = self._listener.bodies.open()
+        elif head.body_size > SMALL_BODY_BYTES:
+            self._reserve(head.body_size, head.headers)
         if not self._waits_for_room():
             self._write_continue()
 
@@ -246,10 +248,10 @@
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         self._owes_continue = False
 
-    def _reserve(self, head: RequestHead) -> None:
-        self._reservation = self._listener.bodies.reserve(head.body_size or 0, self._on_room)
+    def _reserve(self, size: int, headers: RawHeaders) -> None:
+        self._reservation = self._listener.bodies.reserve(size, self._on_room)
         if not self._reservation.granted:
-            wait_s = self._listener.body_wait_s(head.headers)
+            wait_s = self._listener.body_wait_s(headers)
             self._timer = self._loop.call_later(wait_s, self._on_no_room)
             self._update_back_pressure()
 
--- a/tests/test_gateway_large_bodies.py
+++ b/tests/test_gateway_large_bodies.py
@@ -13,6 +13,7 @@
 from standins.scripted import ReceivedRequest, ServerConnection
 from sycamorebay.transport.gateway.body_reservations import (
     MAX_BODY_BYTES,
+    SMALL_BODY_BYTES,
     BodyReservations,
     Reservation,
 )
@@ -176,12 +177,24 @@
         self.assertEqual(["b"], self.granted)
 
     def test_a_body_of_unknown_length_grows_only_while_there_is_room(self):
-        body = self.reserve("a", 0)
+        body = self.bodies.open()
+        self.assertTrue(body.grow(SMALL_BODY_BYTES))
         self.assertTrue(body.grow(9))
         self.assertFalse(body.grow(2))
+        self.assertEqual(9, self.bodies.used)
         body.release()
         self.assertEqual(0, self.bodies.used)
 
+    def test_a_body_of_unknown_length_neither_waits_nor_overtakes(self):
+        first = self.reserve("a", 8)
+        self.reserve("b", 7)
+        body = self.bodies.open()
+        self.assertEqual((True, 8), (body.granted, self.bodies.used))
+        self.assertTrue(body.grow(SMALL_BODY_BYTES + 2))
+        self.assertFalse(body.grow(1))
+        first.release()
+        self.assertEqual(["b"], self.granted)
+
 
 class UploadTest(testtools.TestCase):
     @asynchronous
@@ -198,6 +211,40 @@
             self.assertEqual(0, bodies.used)
             self.assertEqual([], started.servers_by_id["s0"].requests)
 
+    @asynchronous
+    async def test_a_small_chunked_body_does_not_wait_behind_uploads_that_wait_for_room(self):
+        async with fleet(servers=1, document=document()) as started:
+            bodies = started.gateways[0]._caller_listener.bodies
+            held = bodies.reserve(MAX_BODY_BYTES - 1, lambda: None)
+            waiting = bodies.reserve(UPLOAD_BYTES, lambda: None)
+            caller = await started.caller()
+            head = (
+                f"POST /upload/x HTTP/1.1\r\nHost: {HOST}\r\nSycamorebay-Request-Id: r\r\n"
+                "Sycamorebay-Deadline-Ms: 9000\r\nTransfer-Encoding: chunked\r\n\r\n"
+            )
+            caller.writer.write(head.encode() + b"5\r\nfirst\r\n")
+            await asyncio.sleep(0.05)
+            caller.writer.write(b"4\r\nlast\r\n0\r\n\r\n")
+            self.assertEqual(200, (await asyncio.wait_for(caller.answer(), 2.0)).status)
+            self.assertEqual(b"firstlast", started.servers_by_id["s0"].requests[0].body)
+            waiting.release()
+            held.release()
+            self.assertEqual(0, bodies.used)
+
+    @asynchronous
+    async def test_a_chunked_body_without_room_is_refused_at_once(self):
+        async with fleet(servers=1, document=document()) as started:
+            bodies = started.gateways[0]._caller_listener.bodies
+            held = bodies.reserve(MAX_BODY_BYTES - 1, lambda: None)
+            caller = await started.caller()
+            head = f"POST /upload/x HTTP/1.1\r\nHost: {HOST}\r\nTransfer-Encoding: chunked\r\n\r\n"
+            body = b"8000\r\n" + b"x" * 0x8000 + b"\r\n"
+            caller.writer.write(head.encode() + body)
+            answer = await asyncio.wait_for(caller.answer(), 2.0)
+            self.assertEqual((503, "1"), (answer.status, answer.headers["retry-after"]))
+            held.release()
+            self.assertEqual(0, bodies.used)
+
     @asynchronous
     async def test_a_caller_that_waits_for_a_continue_is_told_once_there_is_room(self):
         async with fleet(servers=1, document=document()) as started:
