Keep of a deleted key its last document's place, not its value

Cause: deleted keys were kept with their last values, bounded in number only, to tell an older copy of the store from a new entry. The two numbers of the document suffice.

The new test fails on the code before; the codec's test asks the same of the numbers as it did of the value.

--- a/src/sycamorebay/coordination/forgotten.py
+++ b/src/sycamorebay/coordination/forgotten.py
@@ -64,9 +64,9 @@
 def missing_in_restored(missing: VersionedItem, at: VersionedItem) -> VersionedItem:
     """Return what holds for a known key that a restored store lacks.
 
-    Its last value is left out: a later copy of the store may well show it again.
+    The place of its last document is left out: a later copy of the store may well show it again.
     """
-    return attrs.evolve(at, key=missing.key, value=None, forgotten=True, last_value=None)
+    return attrs.evolve(at, key=missing.key, value=None, forgotten=True, last_order=None)
 
 
 def is_later(known: VersionedItem, shown: VersionedItem, order: DocumentOrder) -> bool:
@@ -83,11 +83,10 @@
 ) -> VersionedItem:
     """Keep a key deleted unless the store shows a document that is later than its last one."""
     if shown.value is None:
-        return attrs.evolve(shown, last_value=known.last_value)
-    if known.last_value is None:
+        return attrs.evolve(shown, last_order=known.last_order)
+    if known.last_order is None:
         return shown
-    before = order.writer_order(known.key, known.last_value)
     after = order.writer_order(shown.key, shown.value)
-    if before is None or after is None or after > before:
+    if after is None or after > known.last_order:
         return shown
     return attrs.evolve(known, version=shown.version, forgotten=True)
--- a/src/sycamorebay/coordination/store_cache.py
+++ b/src/sycamorebay/coordination/store_cache.py
@@ -193,8 +193,10 @@
         self._overruled_by_key.pop(item.key, None)
         if item.value is not None or item.forgotten:
             return item
-        last_value = known.last_value if known.value is None else known.value
-        return attrs.evolve(item, last_value=last_value)
+        last_order = known.last_order
+        if known.value is not None:
+            last_order = self._order.writer_order(known.key, known.value)
+        return attrs.evolve(item, last_order=last_order)
 
     def _resolve_kept(self, known: VersionedItem, item: VersionedItem) -> VersionedItem | None:
         """Take over what another daemon knows from before a restore and this one does not."""
@@ -226,7 +228,7 @@
         was_deleted = known is not None and known.value is None
         self._tombstone_count += (item.value is None) - was_deleted
         self._by_key[item.key] = item
-        if item.forgotten and (item.value is not None or item.last_value is not None):
+        if item.forgotten and (item.value is not None or item.last_order is not None):
             self._kept_keys.add(item.key)
         else:
             self._kept_keys.discard(item.key)
--- a/src/sycamorebay/protocol/store_items.py
+++ b/src/sycamorebay/protocol/store_items.py
@@ -15,7 +15,7 @@
 
 # A copy that decompresses to more than this does not fit into a daemon's memory.
 MAX_COPY_BYTES = 64 * 1024 * 1024
-Row = list[str | int | None]
+Row = list[str | int | list[int] | None]
 # Flags of a row, its fourth element.
 _IS_BASE64 = 1
 _IS_FORGOTTEN = 2
@@ -62,8 +62,8 @@
     """Return items of one era as rows for JSON: key, value or None, and revision.
 
     A fourth element holds flags if there are any: whether the value is in Base64, since it is not
-    UTF-8, and whether a restored store has forgotten it. A fifth one is the last value of a key
-    that is deleted.
+    UTF-8, and whether a restored store has forgotten it. A fifth one, of a deleted key, is the
+    place of its last document among those of its writer.
     """
     return [_row(item) for item in items]
 
@@ -130,10 +130,10 @@
     row: Row = [item.key, value, item.version.revision]
     if item.forgotten:
         flags |= _IS_FORGOTTEN
-    if flags or item.last_value is not None:
+    if flags or item.last_order is not None:
         row.append(flags)
-    if item.last_value is not None:
-        row.append(base64.b64encode(item.last_value).decode())
+    if item.last_order is not None:
+        row.append(list(item.last_order))
     return row
 
 
@@ -153,7 +153,11 @@
     value = None
     if text is not None:
         value = base64.b64decode(text) if flags & _IS_BASE64 else text.encode()
-    last_value = base64.b64decode(rest[1]) if len(rest) > 1 else None
+    last_order = _order(*rest[1]) if len(rest) > 1 else None
     is_forgotten = bool(flags & _IS_FORGOTTEN)
     version = StoreVersion(era, check_integer(revision))
-    return VersionedItem(check_text(key), value, version, is_forgotten, last_value)
+    return VersionedItem(check_text(key), value, version, is_forgotten, last_order)
+
+
+def _order(first: int, second: int) -> tuple[int, int]:
+    return check_integer(first), check_integer(second)
--- a/src/sycamorebay/state/store_versions.py
+++ b/src/sycamorebay/state/store_versions.py
@@ -67,15 +67,15 @@
     forgotten : bool
         Whether a restored store does not have this state: the value is known from before the
         restore, or, of a deleted key, the restored store lacks it and nobody deleted it.
-    last_value : bytes or None
-        Of a deleted key, its value before that, if known.
+    last_order : tuple of (int, int) or None
+        Of a deleted key, the place of its last document among those of its writer, if known.
     """
 
     key: str
     value: bytes | None
     version: StoreVersion
     forgotten: bool = False
-    last_value: bytes | None = attrs.field(default=None, eq=False)
+    last_order: tuple[int, int] | None = attrs.field(default=None, eq=False)
 
 
 @attrs.frozen
--- a/tests/test_foreign_bytes.py
+++ b/tests/test_foreign_bytes.py
@@ -23,7 +23,7 @@
 from sycamorebay.platform.store import PlatformStore
 from sycamorebay.protocol import frames, limit_rows, load_rows, store_items
 from sycamorebay.protocol.documents import decompress_document
-from sycamorebay.protocol.peer_messages import OtherVersionError, decode_message
+from sycamorebay.protocol.peer_messages import PROTOCOL_VERSION, OtherVersionError, decode_message
 from sycamorebay.protocol.reports import decode_report
 from sycamorebay.protocol.revisions import decode_record, decode_trail
 from sycamorebay.settings import load_settings
@@ -139,9 +139,9 @@
     "block": {"owner": "a/1", "cleared": True},
     "listing": {"items": [{"key": "servers/s", "value": "e30=", "rev": 3}], "as_of": 3},
     "watch": {"events": [{"key": "servers/s", "removed": True, "rev": 3}], "as_of": 3},
-    "copy": {"version": [1, 2], "after": None, "items": [["k", "v", 2, 1, "e30="]]},
+    "copy": {"version": [1, 2], "after": None, "items": [["k", None, 2, 1, [7, 2]]]},
     "changes": {
-        "p": 3,
+        "p": PROTOCOL_VERSION,
         "n": "g",
         "i": 1,
         "t": "changes",
@@ -149,9 +149,13 @@
         "version": [1, 2],
         "items": [["k", "v", 2]],
     },
-    "crashes": {"p": 3, "n": "g", "i": 1, "t": "crashes", "rows": [["f", "s", 1]], "refuted": []},
+    "crashes": {
+        **{"p": PROTOCOL_VERSION, "n": "g", "i": 1, "t": "crashes"},
+        **{"rows": [["f", "s", 1]], "refuted": ["s"], "survived": ["f"]},
+    },
     "beat": {
-        **{"p": 3, "n": "g", "i": 1, "t": "beat", "control": "10.0.0.1:1", "domain": "a"},
+        **{"p": PROTOCOL_VERSION, "n": "g", "i": 1, "t": "beat"},
+        **{"control": "10.0.0.1:1", "domain": "a"},
         **{"link": 1.0, "relay": True, "asks": False, "primary": False, "version": [1, 2]},
         **{"kept": 0, "age": 0.1, "store": True, "next": 0.2, "leaves": 1, "relays": 1},
         **{"fleet": 3, "peers": [["h", "10.0.0.2", 7000, "a", 1.0]]},
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import tracemalloc
+
 import attrs
 import testtools
 from hypothesis import given
@@ -243,18 +245,52 @@
         self.assertIsNone(order("other", b"{}"))
 
 
+class DeletedKeysTest(testtools.TestCase):
+    VALUE_BYTES = 100_000
+    COUNT = 100
+
+    def test_large_values_that_are_written_and_deleted_are_not_held(self):
+        cache = StoreCache(PlatformDocuments())
+        tracemalloc.start()
+        try:
+            for number in range(self.COUNT):
+                key, revision = f"servers/i-{number}", 2 * number
+                value = b"x" * self.VALUE_BYTES
+                cache.on_changes(at(revision), [item(key, value, revision + 1)], at(revision + 1))
+                deleted = item(key, None, revision + 2)
+                cache.on_changes(at(revision + 1), [deleted], at(revision + 2))
+            held = tracemalloc.get_traced_memory()[0]
+        finally:
+            tracemalloc.stop()
+        self.assertLess(held, 10 * self.VALUE_BYTES)
+        copy = CacheCopy(cache.changes_after(at(1)) or (), cache.version)
+        self.assertLess(len(encode_copy(copy)), self.VALUE_BYTES)
+
+    def test_an_entry_that_the_copy_shows_stays_deleted_unless_it_is_later(self):
+        entry = b"""{"addr": "10.0.0.1:1", "born": %d,
+            "info": {"backend": "b", "zone": "z", "capacity": 1},
+            "status": {"state": "ready", "seq": 1, "warmup_time": "0ms"}}"""
+        for born, expected in ((4, {}), (5, {}), (6, {"servers/s": entry % 6})):
+            cache = StoreCache(PlatformDocuments())
+            cache.on_changes(at(0), [item("servers/s", entry % 5, 1)], at(1))
+            cache.on_changes(at(1), [item("servers/s", None, 2)], at(2))
+            cache.on_listing(listing((item("servers/s", entry % born, 1, 2),), 1, 2))
+            kept = {key: value for key, value in values(cache).items() if value is not None}
+            self.assertEqual(expected, kept)
+
+
 class CopyCodecTest(testtools.TestCase):
-    def test_a_copy_keeps_eras_flags_and_last_values(self):
+    def test_a_copy_keeps_eras_flags_and_the_last_document_s_place(self):
         items = (
             VersionedItem("a", b"text", StoreVersion(2, 7)),
             VersionedItem("b", b"\xff", StoreVersion(2, 8), forgotten=True),
-            VersionedItem("c", None, StoreVersion(2, 9), True, b"\xfe"),
+            VersionedItem("c", None, StoreVersion(2, 9), True, (7, 2)),
         )
         copy = CacheCopy(items, StoreVersion(2, 9), StoreVersion(1, 3))
         decoded = decode_copy(encode_copy(copy))
         self.assertEqual(copy, decoded)
         last = [attrs.astuple(found)[-1] for found in decoded.items]
-        self.assertEqual([None, None, b"\xfe"], last)
+        self.assertEqual([None, None, (7, 2)], last)
 
     def test_a_copy_with_a_malformed_version_is_no_copy(self):
         import json
