Give up a server's connection on which more than the answer arrived

Found while reading: since bytes are parsed in slices, what follows an answer may be parsed a turn later, when the connection carries the next request, which takes it for its own answer where no id tells (calls to the store, to peers, probes).

Change: an answer that ends while received bytes are left gives the connection up.

--- a/src/sycamorebay/transport/gateway/client.py
+++ b/src/sycamorebay/transport/gateway/client.py
@@ -336,20 +336,24 @@
         if self._answer is None or self._answer.done():
             self.reusable = False
             return
-        self._check_request_is_sent()
+        self._check_reusable()
         self._update_idle_timeout()
         self._answer.set_result(ClientAnswer(self._status, self._headers, self._body.pop_all()))
 
     def _end_stream(self) -> None:
         assert self._stream is not None
         stream, self._stream = self._stream, None
-        self._check_request_is_sent()
+        self._check_reusable()
         stream.end()
 
-    def _check_request_is_sent(self) -> None:
-        """Give up the connection if the server answered before it had the whole request."""
+    def _check_reusable(self) -> None:
+        """Give up the connection if request and answer did not end together.
+
+        Either the server answered before it had the whole request, or it sent more than the answer,
+        which the next request would take for its own.
+        """
         assert self._transport is not None
-        if self._transport.get_write_buffer_size():
+        if self._transport.get_write_buffer_size() or self._feed.has_rest:
             self.reusable = False
 
     def _update_idle_timeout(self) -> None:
--- a/tests/test_gateway_tiny_pieces.py
+++ b/tests/test_gateway_tiny_pieces.py
@@ -225,6 +225,28 @@
         answer = await receive(segments(self.HEAD + chunks(1, FREE_CHUNKS // 2)))
         self.assertEqual(b"x" * (FREE_CHUNKS // 2), answer.body)
 
+    @asynchronous
+    async def test_what_follows_an_answer_in_a_later_slice_answers_no_other_request(self):
+        answer = self.HEAD + chunks(40, 330)
+        stray = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nstray"
+        # The answer ends within the first slice, after more steps than a turn takes.
+        self.assertLess(len(answer), SLICE_BYTES)
+        received = answer + b"HTTP/1.1 200 OK\r\nx: " + b"x" * SLICE_BYTES + b"\r\n\r\n" + stray
+        connection, transport = Connection(BufferBudget()), PausableTransport()
+        connection.connection_made(transport)
+        followed: list[bool] = []
+
+        async def ask() -> bytes:
+            first = await connection.send_request(b"x", b"", lambda *_: True)
+            followed.append(connection.open)
+            return first.body
+
+        request = asyncio.ensure_future(ask())
+        await asyncio.sleep(0)
+        connection.data_received(received)
+        self.assertEqual(40 * 330, len(await request))
+        self.assertEqual([False], followed)
+
     @asynchronous
     async def test_a_stream_in_tiny_segments_is_held_by_few_objects(self):
         class Source:
