Show that downloads read late exceed a gateway's memory

Answers without a length are held whole and leave the budget of answers once they are whole; until their callers take them, little counts them.

--- a/review/support_2.py
+++ b/review/support_2.py
@@ -531,6 +531,33 @@
             await process.wait()
 
 
+class Platform:
+    """Kills a process that exceeds the memory of its machine, and starts it again."""
+
+    def __init__(self, gateways, record: Record, count: int, ram_mb: float) -> None:
+        self.gateways, self.record, self.ram_mb = gateways, record, ram_mb
+        self.ends = [0] * count
+        self.peaks = [0.0] * count
+
+    async def watch(self, number: int) -> None:
+        while True:
+            await asyncio.sleep(0.005)
+            process = self.gateways.processes[number]
+            if process.returncode is None:
+                # Pages of files, such as the interpreter's, are left out.
+                used = self.gateways.memory_mb(number, "RssAnon")
+                self.peaks[number] = max(self.peaks[number], used)
+                if used <= self.ram_mb:
+                    continue
+                self.record(f"edge-{number} holds {used:.1f} MB, over ram_mb {self.ram_mb}")
+                self.gateways.signal(number, signal.SIGKILL)
+                await process.wait()
+            self.record(f"edge-{number} has ended: {process.returncode}")
+            self.ends[number] += 1
+            await asyncio.sleep(0.5)
+            await self.gateways.start(number)
+
+
 @contextlib.asynccontextmanager
 async def deployment(
     record, count, servers, routes, base="127.0.21", services=("desk",), changes=None, **more
