Show that two owners grant a tenant's limit at once after a restart in a cut

Two of six gateways that restart while they are cut off take themselves for the fleet and grant each tenant's whole limit, beside the owner of the other part.

--- a/review/support_2.py
+++ b/review/support_2.py
@@ -11,6 +11,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -416,6 +417,7 @@
         self.changes: dict = {}
         self.store_addresses: dict[int, str] = {}
         self.seeds = [0, 1, 2]
+        self.seed_ips: dict[int, list[str]] = {}
         if not (ROOT / "target" / "deps" / "sycamorebay").is_dir():
             raise CannotRun("target/deps is missing: run the build of deploy/system.toml")
 
@@ -442,7 +444,10 @@
                 "control": f"{ip}:{self.ports[2]}",
             },
             "port_range": [self.ports[3], self.ports[3] + 15],
-            "seeds": [f"{self.ip(seed)}:{self.ports[2]}" for seed in self.seeds],
+            "seeds": [
+                f"{ip}:{self.ports[2]}"
+                for ip in self.seed_ips.get(number, [self.ip(seed) for seed in self.seeds])
+            ],
             "bootstrap": True,
             "limits": {
                 "cpu_share": 0.86,
@@ -531,6 +536,114 @@
             await process.wait()
 
 
+class PeerNetwork:
+    """A proxy of the datagrams between gateways, which can be cut.
+
+    Each gateway knows each other one by an address of the proxy, 127.0.(130 + own).(1 + other). A
+    datagram reaches its receiver from the address by which that one knows the sender.
+    """
+
+    def __init__(self, count: int) -> None:
+        self.count = count
+        self.cut_off: set[int] = set()
+        self._transports: dict[tuple[int, int], asyncio.DatagramTransport] = {}
+
+    async def open(self, gateways: Gateways) -> None:
+        """Listen, and give the gateways the proxy's addresses as seeds."""
+        self._gateways = gateways
+        loop = asyncio.get_running_loop()
+        for own in range(self.count):
+            for other in range(self.count):
+                address = (self._ip(own, other), gateways.ports[3])
+                transport, _ = await loop.create_datagram_endpoint(
+                    lambda other=other: _Endpoint(self, other), local_addr=address
+                )
+                self._transports[own, other] = transport
+            seeds = [seed for seed in gateways.seeds if seed != own]
+            gateways.seed_ips[own] = [self._ip(own, seed) for seed in seeds]
+
+    def _ip(self, own: int, other: int) -> str:
+        return f"127.0.{130 + own}.{1 + other}"
+
+    def cut(self, numbers: set[int]) -> None:
+        """Drop all datagrams between these gateways and the others."""
+        self.cut_off = numbers
+
+    def pass_on(self, data: bytes, source_ip: str, receiver: int) -> None:
+        sender = int(source_ip.rpartition(".")[2]) - 1
+        if (sender in self.cut_off) != (receiver in self.cut_off):
+            return
+        address = (self._gateways.ip(receiver), self._gateways.ports[3])
+        self._transports[receiver, sender].sendto(data, address)
+
+    def close(self) -> None:
+        for transport in self._transports.values():
+            transport.close()
+
+
+class _Endpoint(asyncio.DatagramProtocol):
+    def __init__(self, network: PeerNetwork, receiver: int) -> None:
+        self.network, self.receiver = network, receiver
+
+    def datagram_received(self, data: bytes, addr) -> None:
+        self.network.pass_on(data, addr[0], self.receiver)
+
+    def error_received(self, exc: Exception) -> None:
+        """A gateway that has ended refuses datagrams."""
+
+
+class TenantClient:
+    """Sends a tenant's requests one after another, each to the gateway of its connection.
+
+    `gateway` is the one that it connects to; None draws one for each connection.
+    """
+
+    def __init__(self, tenant: int, number: int, gateway, gateways, record: Record) -> None:
+        self.tenant, self.number, self.gateway = tenant, number, gateway
+        self.gateways, self.record = gateways, record
+        self.rng = random.Random(f"client {tenant}/{number}")
+        self.sent_at: dict[str, float] = {}
+
+    async def run(self, until: asyncio.Event) -> None:
+        connection, count = None, 0
+        while not until.is_set():
+            try:
+                if connection is None:
+                    gateway = self.gateway
+                    if gateway is None:
+                        gateway = self.rng.randrange(len(self.gateways.processes))
+                    connection = await Connection.open(self.gateways.front(gateway))
+                count += 1
+                request_id = f"t{self.tenant}-{self.number}-{count}"
+                self.sent_at[request_id] = time.monotonic()
+                key = f"Authorization: Bearer key-{self.tenant}\r\n"
+                async with asyncio.timeout(2.0):
+                    answer = await connection.ask(
+                        request_id, "/pay/x", "POST", b"1", deadline=1500, headers=key
+                    )
+                self.record(f"client gets {answer.status} for {request_id} from edge-{gateway}")
+                await asyncio.sleep(self.rng.uniform(0.2, 0.4))
+            except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
+                self.record(f"client of t{self.tenant}: {error!r}")
+                if connection is not None:
+                    connection.close()
+                connection = None
+                await asyncio.sleep(0.05)
+        if connection is not None:
+            connection.close()
+
+
+def most_in_window(arrivals: list[tuple[float, float]], window_s: float) -> tuple[int, float]:
+    """Return the most requests that were both sent and arrived in a window, and its end."""
+    best, end = 0, 0.0
+    for at, _ in arrivals:
+        since = at - window_s
+        count = sum(since <= sent and arrived <= at for arrived, sent in arrivals)
+        if count > best:
+            best, end = count, at
+    return best, end
+
+
 class Platform:
     """Kills a process that exceeds the memory of its machine, and starts it again."""
 
@@ -560,7 +673,7 @@
 
 @contextlib.asynccontextmanager
 async def deployment(
-    record, count, servers, routes, base="127.0.21", services=("desk",), changes=None, **more
+    record, count, servers, routes, base="127.0.21", services=("desk",), changes=None, before_start=None, **more
 ):
     """Start a store, `servers` (listening already or not) and `count` gateways, all ready.
 
@@ -577,6 +690,8 @@
     with tempfile.TemporaryDirectory() as folder:
         gateways = Gateways(record, store.address, Path(folder), base)
         gateways.changes = changes or {}
+        if before_start is not None:
+            await before_start(gateways)
         gateways.store_addresses = {number: await store.listen() for number in range(count)}
         try:
             for number in range(count):
