--- a/review/support_2.py
+++ b/review/support_2.py
@@ -616,6 +616,7 @@
                 count += 1
                 request_id = f"t{self.tenant}-{self.number}-{count}"
                 self.sent_at[request_id] = time.monotonic()
+                self.record(f"client sends {request_id} to edge-{gateway}")
                 key = f"Authorization: Bearer key-{self.tenant}\r\n"
                 async with asyncio.timeout(2.0):
                     answer = await connection.ask(
