Test clients that don't behave at an entry's and a gateway's addresses

Each test starts a process, lets a crowd repeat one pattern at one address, and checks that the process lives, stays within the memory and the descriptors of its VM, and answers an ordinary request.

The harness of the gateway's tests moves to tests/untrusted.py; its ordinary request and the readiness check now have to succeed together within the time that each had alone.

--- a/tests/gateway_processes.py
+++ b/tests/gateway_processes.py
@@ -109,16 +109,19 @@
 
 
 @asynccontextmanager
-async def gateways(count: int, servers: int = 1, wait: bool = True) -> AsyncIterator[Gateways]:
+async def gateways(
+    count: int, servers: int = 1, wait: bool = True, configured: bool = True
+) -> AsyncIterator[Gateways]:
     """Start a store, servers ``s0``, ``s1``, ... of the service ``desk``, and gateways.
 
-    Without servers no gateway becomes ready, so that `wait` has to be False.
+    Without servers or a configuration no gateway becomes ready, so that `wait` has to be False.
     """
     fleet = Fleet()
     with tempfile.TemporaryDirectory() as folder:
         try:
             await fleet.start_store()
-            fleet.store.put("op/config", config())
+            if configured:
+                fleet.store.put("op/config", config())
             for number in range(servers):
                 await fleet.server(f"s{number}")
             ports = tuple(free_port() for _ in range(4))
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -17,7 +17,9 @@
 WORKERS = 4
 # These bound the memory and the descriptors of a process under a flood; they run one at a time,
 # after all others.
-SEPARATE_MODULES = frozenset({"tests.test_gateway_untrusted_callers"})
+SEPARATE_MODULES = frozenset(
+    {"tests.test_entry_untrusted_callers", "tests.test_gateway_untrusted_callers"}
+)
 
 
 @attrs.frozen
--- a/tests/test_gateway_untrusted_callers.py
+++ b/tests/test_gateway_untrusted_callers.py
@@ -10,33 +10,33 @@
 import asyncio
 import contextlib
 import json
+import random
 import socket
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from typing import Any
 from unittest import mock
 
-import attrs
-import psutil
-import testtools
-
 from standins.scripted import ReceivedRequest, ServerConnection
 from tests.gateway_fleet import HOST, config, eventually, route
-from tests.gateway_processes import CALLERS, CONTROL, READINESS, Gateways, gateways
+from tests.gateway_processes import CALLERS, CONTROL, DATAGRAMS, READINESS, Gateways, gateways
 from tests.support import asynchronous
+from tests.untrusted import (
+    ENDLESS_CROWD,
+    ENDLESS_S,
+    KIB,
+    EndlessRequests,
+    Pattern,
+    UntrustedTest,
+    Victim,
+    crowd_of,
+)
 
-MB = 1_000_000
-KIB = 1024
 RAM_MB = 64
 MANY_FDS = 4100
 FEW_FDS = 300
-FILE_FDS = 200
-SAMPLE_S = 0.02
-RETRY_S = 0.1
-ESTABLISHED = 1
-ATTACK_S = 5.0
-GIVE_UP_S = 20.0
 CROWD = 150
+LARGE_CROWD = 500
 ANSWER_BYTES = 256 * KIB
 
 START = b"GET /safe/x HTTP/1.1\r\nHost: %s\r\n" % HOST.encode()
@@ -47,6 +47,11 @@
 NAMED = START + b"Sycamorebay-Request-Id: pipelined\r\nSycamorebay-Deadline-Ms: 20000\r\n"
 PIPELINED_TINY_HEADERS = (NAMED + TINY_HEADERS + b"\r\n") * 32
 PIPELINED = (NAMED + b"\r\n") * 64
+# No route matches, so that the gateway itself answers each of them.
+PIPELINED_REFUSED = (b"GET /nowhere HTTP/1.1\r\nHost: %s\r\n\r\n" % HOST.encode()) * 64
+LARGEST_DATAGRAM_BYTES = 60_000
+BURST_DATAGRAMS = 50
+BURST_INTERVAL_S = 0.01
 
 
 def document() -> dict[str, Any]:
@@ -61,81 +66,39 @@
     return changed
 
 
-@attrs.define
-class Pattern:
-    """What a caller sends on each of its connections, which it then keeps open."""
-
-    start: bytes = b""
-    piece: bytes = b""
-    count: int = 0
-
-
-@attrs.define
-class Peak:
-    """Most resident memory in bytes, and most open descriptors, that a process had."""
-
-    process: psutil.Process
-    memory: int = 0
-    descriptors: int = 0
-
-    async def watch(self) -> None:
-        while True:
-            self.memory = max(self.memory, self.process.memory_info().rss)
-            self.descriptors = max(self.descriptors, self.process.num_fds())
-            await asyncio.sleep(SAMPLE_S)
-
-
-async def attack(address: tuple[str, int], pattern: Pattern) -> None:
-    """Repeat a pattern on one connection after the other; never read an answer."""
-    loop = asyncio.get_running_loop()
-    while True:
-        with contextlib.suppress(OSError), socket.socket() as sock:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8 * KIB)
-            sock.setblocking(False)
-            await loop.sock_connect(sock, address)
-            await loop.sock_sendall(sock, pattern.start)
-            for _ in range(pattern.count):
-                await loop.sock_sendall(sock, pattern.piece)
-            await wait_for_close(sock)
-        await asyncio.sleep(RETRY_S)
-
-
-async def wait_for_close(sock: socket.socket) -> None:
-    """Wait until a connection was closed, without taking what was received."""
-
-    def is_closed() -> bool:
-        return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] != ESTABLISHED
-
-    await eventually(is_closed, ATTACK_S + 2 * GIVE_UP_S)
-
-
-async def answered(started: Gateways) -> bool:
-    """Ask an ordinary request on a new connection; return whether a server answered it."""
+async def answered(started: Gateways, status: int = 200) -> bool:
+    """Ask an ordinary request on a new connection; return whether it got this status."""
     with contextlib.suppress(OSError, EOFError, TimeoutError):
         caller = await started.connect(0)
         try:
             async with asyncio.timeout(5.0):
                 answer = await caller.ask("ordinary", "/safe/ordinary", deadline_ms=5000)
-            return answer.status == 200
+            return answer.status == status
         finally:
             caller.close()
     return False
 
 
-@asynccontextmanager
-async def limited_gateway(max_fds: int) -> AsyncIterator[Gateways]:
-    """Start a gateway with lowered limits, behind it a server with large answers."""
+def limit_resources(max_fds: int) -> contextlib.AbstractContextManager[Any]:
+    """Lower the limits in the boot files of gateways that are started in the context."""
     plain_settings = Gateways.boot_settings
 
     def boot_settings(started: Gateways, number: int) -> dict[str, Any]:
         limits = {"ram_mb": RAM_MB, "max_fds": max_fds}
         return {**plain_settings(started, number), "limits": limits}
 
+    return mock.patch.object(Gateways, "boot_settings", boot_settings)
+
+
+@asynccontextmanager
+async def limited_gateway(max_fds: int = MANY_FDS) -> AsyncIterator[Gateways]:
+    """Start a gateway with lowered limits, behind it a server with large answers."""
+
     async def answer(request: ReceivedRequest, connection: ServerConnection) -> None:
         size = 2 if request.target.endswith("ordinary") else ANSWER_BYTES
         connection.answer(request, body=b"x" * size)
 
-    with mock.patch.object(Gateways, "boot_settings", boot_settings):
+    with limit_resources(max_fds):
         async with gateways(1) as started:
             started.fleet.servers_by_id["s0"].script = answer
             started.fleet.store.put("op/config", document())
@@ -143,43 +106,51 @@
             yield started
 
 
+@asynccontextmanager
+async def unconfigured_gateway() -> AsyncIterator[Gateways]:
+    """Start a gateway with lowered limits that knows no configuration."""
+    with limit_resources(MANY_FDS):
+        async with gateways(1, wait=False, configured=False) as started:
+            await eventually(lambda: answered(started, 503))
+            yield started
+
+
 def has_configuration(started: Gateways) -> bool:
     log = started.read_log(0)
     return any("configuration" in json.dumps(line) and line.get("version") == 2 for line in log)
 
 
-class UntrustedCallersTest(testtools.TestCase):
+def victim_of(
+    started: Gateways,
+    port: int,
+    is_serving: Callable[[], Awaitable[bool]],
+    max_fds: int = MANY_FDS,
+) -> Victim:
+    """Return the first gateway, to be attacked at one of its ports."""
+    process = started.processes[0]
+    return Victim(
+        process.pid,
+        (started.address(0), started.ports[port]),
+        is_serving,
+        lambda: process.returncode is not None,
+        RAM_MB,
+        max_fds,
+    )
+
+
+async def is_serving(started: Gateways) -> bool:
+    """Whether a gateway answers an ordinary request, and is ready."""
+    return await answered(started) and await started.is_ready(0)
+
+
+class UntrustedCallersTest(UntrustedTest):
     async def check(
         self, pattern: Pattern, crowd: int = CROWD, max_fds: int = MANY_FDS, port: int = CALLERS
     ) -> None:
         """Let a crowd repeat a pattern; check the process, its bounds and an ordinary request."""
         async with limited_gateway(max_fds) as started:
-            process = started.processes[0]
-            peak = Peak(psutil.Process(process.pid))
-            address = (started.address(0), started.ports[port])
-            tasks = [asyncio.create_task(attack(address, pattern)) for _ in range(crowd)]
-            tasks.append(asyncio.create_task(peak.watch()))
-            try:
-                await asyncio.sleep(ATTACK_S)
-                self.assertIsNone(process.returncode, "the process ended")
-                await self.await_success(lambda: answered(started), "no ordinary request answered")
-                await self.await_success(lambda: started.is_ready(0), "not ready")
-                self.assertIsNone(process.returncode, "the process ended")
-            finally:
-                for task in tasks:
-                    task.cancel()
-                await asyncio.gather(*tasks, return_exceptions=True)
-                print(f"{self.id()}: {peak.memory // MB} MB, {peak.descriptors} descriptors")
-            self.assertGreater(peak.memory, 0, "the process was not sampled")
-            self.assertLessEqual(peak.memory, RAM_MB * MB)
-            self.assertLessEqual(peak.descriptors, max_fds - FILE_FDS)
-
-    async def await_success(self, attempt: Callable[[], Any], failure: str) -> None:
-        """Repeat an attempt as an ordinary caller would after a refusal."""
-        try:
-            await eventually(attempt, GIVE_UP_S)
-        except TimeoutError:
-            self.fail(failure)
+            victim = victim_of(started, port, lambda: is_serving(started), max_fds)
+            await self.check_victim(victim, pattern, crowd)
 
     @asynchronous
     async def test_heads_over_the_limit(self):
@@ -232,3 +203,54 @@
     @asynchronous
     async def test_idle_connections_at_the_control_address(self):
         await self.check(Pattern(), max_fds=FEW_FDS, port=CONTROL)
+
+    @asynchronous
+    async def test_tiny_headers_without_end_on_many_connections(self):
+        await self.check(Pattern(START, TINY_HEADERS, 300), crowd=LARGE_CROWD)
+
+    @asynchronous
+    async def test_pipelined_refused_requests_whose_answers_are_never_read(self):
+        await self.check(Pattern(b"", PIPELINED_REFUSED, 1000))
+
+    @asynchronous
+    async def test_incomplete_requests_beside_tiny_headers_without_end(self):
+        async with limited_gateway() as started:
+            victim = victim_of(started, CALLERS, lambda: is_serving(started))
+            async with crowd_of(LARGE_CROWD, victim.address, Pattern(START)):
+                await self.check_victim(victim, Pattern(START, TINY_HEADERS, 300), ENDLESS_CROWD)
+
+
+class UnconfiguredCallersTest(EndlessRequests, UntrustedTest):
+    async def check_endless(self, pattern: Pattern) -> None:
+        async with unconfigured_gateway() as started:
+            victim = victim_of(started, CALLERS, lambda: answered(started, 503))
+            await self.check_victim(victim, pattern, ENDLESS_CROWD, ENDLESS_S)
+
+
+class ControlTest(EndlessRequests, UntrustedTest):
+    async def check_endless(self, pattern: Pattern) -> None:
+        async with limited_gateway() as started:
+            victim = victim_of(started, CONTROL, lambda: is_serving(started))
+            await self.check_victim(victim, pattern, ENDLESS_CROWD, ENDLESS_S)
+
+
+class DatagramsTest(UntrustedTest):
+    @asynchronous
+    async def test_datagrams_without_end(self):
+        async with limited_gateway() as started:
+            victim = victim_of(started, DATAGRAMS, lambda: is_serving(started))
+            with socket.socket(type=socket.SOCK_DGRAM) as sock:
+                task = asyncio.create_task(send_datagrams(sock, victim.address))
+                try:
+                    await self.check_victim(victim, Pattern(), 0, ENDLESS_S)
+                finally:
+                    task.cancel()
+
+
+async def send_datagrams(sock: socket.socket, address: tuple[str, int]) -> None:
+    """Send datagrams of random bytes and sizes, in bursts."""
+    rng = random.Random(45)
+    while True:
+        for _ in range(BURST_DATAGRAMS):
+            sock.sendto(rng.randbytes(rng.randrange(LARGEST_DATAGRAM_BYTES)), address)
+        await asyncio.sleep(BURST_INTERVAL_S)
