Bound what an entry holds of trailers and chunk extensions

Cause: the entry's protocol counted the bytes of heads and nothing between the chunks of a body. The parser's library buffers one trailer until it is complete. The gateway's reader had that limit, but in its own copy of the logic.

Change: the part of the gateway's reader that bounds heads, trailers and framing becomes BoundedParser in transport/http, and both daemons parse through it. A chunked body is parsed 16 KiB at a time, so that one large read is counted as well. The entry's own counting goes.

Evidence: three process tests and three inputs of test_bad_input failed on the code before (no ordinary request answered; 502 in place of 400).

--- a/src/sycamorebay/transport/forwarding/caller_protocol.py
+++ b/src/sycamorebay/transport/forwarding/caller_protocol.py
@@ -6,10 +6,9 @@
 import socket
 import struct
 from collections.abc import Callable
-from typing import Any
+from typing import Any, cast
 
 import attrs
-import httptools
 from uvicorn.protocols.http.httptools_impl import (
     STATUS_LINE,
     HttpToolsProtocol,
@@ -22,8 +21,6 @@
 from sycamorebay.protocol.problem import raw_refusal
 from sycamorebay.protocol.request_head import (
     INTERNAL_ERROR,
-    MALFORMED,
-    TARGET_TOO_LONG,
     TOO_LARGE,
     TOO_SLOW,
     HeadFault,
@@ -31,10 +28,13 @@
     origin_form,
 )
 from sycamorebay.settings import CallerLimits
+from sycamorebay.transport.http.bounded_parser import BoundedParser, HeadLimits, RequestError
 
 # Key of the `CallerProtocol` among the extensions of the ASGI scope.
 CONNECTION_EXTENSION = "sycamorebay.connection"
 MAX_PIPELINED = 16
+# The method, the version and the line break of a request line.
+REQUEST_LINE_BYTES = 64
 # SO_LINGER switched on with a timeout of 0 s: closing the socket sends RST instead of FIN.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -59,10 +59,6 @@
     draining: bool = False
 
 
-class _HeadError(Exception):
-    """Stops the parser, which raises its own error instead; `CallerProtocol` keeps the fault."""
-
-
 class CallerProtocol(HttpToolsProtocol):
     """uvicorn's HTTP/1.1 protocol with limited heads, timeouts and refusals.
 
@@ -76,22 +72,26 @@
 
     def __init__(self, *args: Any, listener: Listener, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
-        # uvicorn accepts data after a request with ``connection: close``; here it is malformed.
-        self.parser.set_dangerous_leniencies(lenient_data_after_close=False)
         self._listener = listener
-        self._rejected_fault: HeadFault | None = None
+        # Unlike uvicorn's, it takes data after a request with ``connection: close`` as malformed.
+        self.parser = BoundedParser(self)  # type: ignore[assignment]
         self._pending_refusal: HeadFault | None = None
         self._reading_head = False
         self._reading_body = False
-        self._made_progress = False
-        self._head_bytes = 0
-        self._unreported_bytes = 0
+        self._header_bytes = 0
         self._head_timer_started = False
         self._ignores_input = False
         self._timer: asyncio.TimerHandle | None = None
         self._active_cycle: RequestResponseCycle | None = None
         self._active_task: asyncio.Task[None] | None = None
 
+    @property
+    def head_limits(self) -> HeadLimits:
+        """The limits of heads; those of the headers alone are checked here."""
+        limits = self._listener.limits
+        head_bytes = REQUEST_LINE_BYTES + limits.target_bytes + limits.head_bytes
+        return HeadLimits(head_bytes, limits.headers, limits.target_bytes)
+
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Start the idle timeout for the first request."""
         super().connection_made(transport)
@@ -188,50 +188,32 @@
         if self._ignores_input:
             return
         self._unset_keepalive_if_required()
-        self._made_progress = False
         try:
             self.parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._refuse(self._rejected_fault or MALFORMED)
+        except RequestError as error:
+            self._refuse(error.fault)
             return
-        if self._reading_body:
+        if self._reading_body or self._head_timer_started:
             return
-        # The parser does not report an unfinished header, so its bytes are counted here. Once it is
-        # reported, its own length counts.
-        self._unreported_bytes = 0 if self._made_progress else self._unreported_bytes + len(data)
-        if self._head_bytes + self._unreported_bytes > self._listener.limits.head_bytes:
-            self._refuse(TOO_LARGE)
+        if cast(BoundedParser, self.parser).is_between_messages:
             return
-        if (self._reading_head or not self._made_progress) and not self._head_timer_started:
-            self._start_timer(self._listener.limits.head_s, self._on_head_timeout)
-            self._head_timer_started = True
+        self._start_timer(self._listener.limits.head_s, self._on_head_timeout)
+        self._head_timer_started = True
 
     def on_message_begin(self) -> None:
         """Start counting the bytes of a head."""
         super().on_message_begin()
         self.scope["extensions"] = {CONNECTION_EXTENSION: self}  # type: ignore[dict-item]
         self._reading_head = True
-        self._made_progress = True
-        self._head_bytes = 0
-
-    def on_url(self, url: bytes) -> None:
-        """Reject a target that is longer than the limit."""
-        super().on_url(url)
-        self._made_progress = True
-        if len(self.url) > self._listener.limits.target_bytes:
-            self._reject_head(TARGET_TOO_LONG)
+        self._header_bytes = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Reject a head that exceeds the limits. Ignore trailers."""
-        if not self._reading_head:
-            return
+        """Reject a head whose headers exceed the limit."""
         super().on_header(name, value)
-        self._made_progress = True
         # 4 bytes for the colon, the space and the line break.
-        self._head_bytes += len(name) + len(value) + 4
-        limits = self._listener.limits
-        if self._head_bytes > limits.head_bytes or len(self.headers) > limits.headers:
-            self._reject_head(TOO_LARGE)
+        self._header_bytes += len(name) + len(value) + 4
+        if self._header_bytes > self._listener.limits.head_bytes:
+            raise RequestError(TOO_LARGE)
 
     def on_headers_complete(self) -> None:
         """Reject an invalid head or too many pipelined requests, else start the request."""
@@ -243,24 +225,17 @@
         if fault is None and len(self.pipeline) >= MAX_PIPELINED:
             fault = HeadFault(429, "too many requests are pipelined")
         if fault is not None:
-            self._reject_head(fault)
+            raise RequestError(fault)
         self.url = origin_form(self.url) or b"/"
         self._reading_body = True
         super().on_headers_complete()
 
-    def on_body(self, body: bytes) -> None:
-        """Pass a part of the body to the request."""
-        self._made_progress = True
-        super().on_body(body)
-
     def on_message_complete(self) -> None:
         """Wait for the next head.
 
         After an early answer, the idle timeout replaces the limit for reading the rest of the body.
         """
         self._reading_body = False
-        self._made_progress = True
-        self._head_bytes = 0
         super().on_message_complete()
         if self._timer is not None:
             self._start_timer(self._listener.limits.idle_s, self._on_head_timeout)
@@ -284,10 +259,6 @@
         self._active_cycle = cycle
         self._active_task = task
 
-    def _reject_head(self, fault: HeadFault) -> None:
-        self._rejected_fault = fault
-        raise _HeadError(fault.reason)
-
     def _on_head_timeout(self) -> None:
         """Refuse a head that took too long, or close an idle connection."""
         self._timer = None
--- a/src/sycamorebay/transport/gateway/callers/caller_limits.py
+++ b/src/sycamorebay/transport/gateway/callers/caller_limits.py
@@ -9,11 +9,11 @@
 from sycamorebay.coordination.held_memory import CONNECTION_BYTES
 from sycamorebay.coordination.memory_budget import divide_memory
 from sycamorebay.transport.gateway.callers.body_reservations import BodyReservations
-from sycamorebay.transport.gateway.callers.caller_guard import CallerGuard, CallerMemory
 from sycamorebay.transport.gateway.callers.listener import Handler, Listener
 from sycamorebay.transport.gateway.callers.slow_callers import SlowCallers
 from sycamorebay.transport.gateway.counters import Counters
 from sycamorebay.transport.gateway.settings import GatewaySettings
+from sycamorebay.transport.http.caller_guard import CallerGuard, CallerMemory
 
 # Of the memory for requests, the share that connections may take before they send anything.
 CONNECTION_MEMORY_SHARE = 1 / 2
--- a/src/sycamorebay/transport/gateway/callers/connection.py
+++ b/src/sycamorebay/transport/gateway/callers/connection.py
@@ -35,14 +35,10 @@
     encode_answer,
 )
 from sycamorebay.transport.gateway.callers.open_request import OpenRequest, drop_answer
-from sycamorebay.transport.gateway.callers.request_reader import (
-    OUT_OF_PROPORTION,
-    RequestError,
-    RequestHead,
-    RequestReader,
-)
-from sycamorebay.transport.gateway.paced_feed import PacedFeed
+from sycamorebay.transport.gateway.callers.request_reader import RequestHead, RequestReader
 from sycamorebay.transport.gateway.sockets import set_socket_options
+from sycamorebay.transport.http.bounded_parser import OUT_OF_PROPORTION, RequestError
+from sycamorebay.transport.http.paced_feed import PacedFeed
 
 if TYPE_CHECKING:
     from sycamorebay.transport.gateway.callers.listener import Listener
--- a/src/sycamorebay/transport/gateway/callers/listener.py
+++ b/src/sycamorebay/transport/gateway/callers/listener.py
@@ -13,12 +13,12 @@
     DEFAULT_WAIT_S,
     BodyReservations,
 )
-from sycamorebay.transport.gateway.callers.caller_guard import CallerGuard
 from sycamorebay.transport.gateway.callers.caller_messages import CallerAnswer, CallerRequest
 from sycamorebay.transport.gateway.callers.connection import CallerConnection
 from sycamorebay.transport.gateway.callers.open_request import OpenRequest
 from sycamorebay.transport.gateway.callers.slow_callers import SlowCallers
 from sycamorebay.transport.gateway.counters import Counters
+from sycamorebay.transport.http.caller_guard import CallerGuard
 
 Handler = Callable[[CallerRequest], Coroutine[Any, Any, CallerAnswer]]
 
--- a/src/sycamorebay/transport/gateway/servers/client.py
+++ b/src/sycamorebay/transport/gateway/servers/client.py
@@ -16,9 +16,9 @@
 from sycamorebay.protocol.pieces import PieceBuffer
 from sycamorebay.transport.gateway.body_stream import BodyStream
 from sycamorebay.transport.gateway.counters import Counters
-from sycamorebay.transport.gateway.paced_feed import PacedFeed
 from sycamorebay.transport.gateway.servers.buffer_budget import BufferBudget
 from sycamorebay.transport.gateway.sockets import set_socket_options
+from sycamorebay.transport.http.paced_feed import PacedFeed
 
 # Applies to servers that send no keep-alive timeout.
 DEFAULT_KEEP_ALIVE_S = 4.0
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -18,11 +18,11 @@
 from sycamorebay.coordination.held_memory import CONNECTION_BYTES, RELIEF_SHARE, HeldMemory
 from sycamorebay.coordination.memory_budget import MEGABYTE, MemoryBudget, divide_memory
 from sycamorebay.protocol.head_meter import HeadMeter
-from sycamorebay.transport.gateway.callers.caller_guard import CallerGuard, CallerMemory
 from sycamorebay.transport.gateway.callers.caller_messages import CallerAnswer, CallerRequest
 from sycamorebay.transport.gateway.callers.listener import Listener
 from sycamorebay.transport.gateway.counters import Counters
-from sycamorebay.transport.gateway.paced_feed import PacedFeed
+from sycamorebay.transport.http.caller_guard import CallerGuard, CallerMemory
+from sycamorebay.transport.http.paced_feed import PacedFeed
 from tests.support import asynchronous
 from tests.test_gateway_tiny_pieces import PausableTransport
 
--- a/tests/test_gateway_tiny_pieces.py
+++ b/tests/test_gateway_tiny_pieces.py
@@ -18,9 +18,9 @@
 from sycamorebay.transport.gateway.callers.body_reservations import BodyReservations
 from sycamorebay.transport.gateway.callers.caller_messages import CallerAnswer, CallerRequest
 from sycamorebay.transport.gateway.callers.listener import Listener
-from sycamorebay.transport.gateway.paced_feed import SLICE_BYTES, PacedFeed
 from sycamorebay.transport.gateway.servers.buffer_budget import BufferBudget
 from sycamorebay.transport.gateway.servers.client import AnswerError, ClientAnswer, Connection
+from sycamorebay.transport.http.paced_feed import SLICE_BYTES, PacedFeed
 from tests.gateway_fleet import config, fleet, route
 from tests.support import asynchronous
 from tests.test_gateway_fuzz import RecordingTransport
