Read requests of operators within the limits of callers' requests

Seen: twenty clients that sent a header, a path or a trailer without end to an entry's operators' address took it to 1,190 to 1,396 MB in three seconds, and tiny headers or trailers to 5,457 and 5,636 MB; no ordinary request was answered.

Cause: the operators' listener ran uvicorn's own protocol, which bounds nothing. The limits stood in the protocol for callers only.

Change: both listeners use CallerProtocol with the same settings. Operators' requests are not checked beyond their size, as health checks may come without a host or in HTTP/1.0. A refusal is logged and counted like a caller's. An idle operators' connection is kept for limits.idle_s now.

--- a/src/sycamorebay/transport/entry/daemon.py
+++ b/src/sycamorebay/transport/entry/daemon.py
@@ -15,6 +15,7 @@
 from sycamorebay.coordination.choose import CHOOSERS_BY_NAME
 from sycamorebay.coordination.dispatch import Dispatcher
 from sycamorebay.metrics import Metrics
+from sycamorebay.outcomes import Refusal
 from sycamorebay.settings import Settings
 from sycamorebay.transport import garbage_collection
 from sycamorebay.transport.background import BackgroundTask, run_in_background
@@ -22,7 +23,7 @@
 from sycamorebay.transport.entry.operators import Status, operator_app
 from sycamorebay.transport.entry.timing import Timers
 from sycamorebay.transport.forwarding.forward import Forwarder
-from sycamorebay.transport.forwarding.front import asgi_server, caller_server
+from sycamorebay.transport.forwarding.front import caller_server, operator_server
 from sycamorebay.transport.forwarding.probing import ProbeTask
 from sycamorebay.transport.forwarding.upstream import open_upstream
 from sycamorebay.transport.operations.keyed import KeyedOperations, open_operations
@@ -96,9 +97,11 @@
         settings = self._settings
         callers = caller_server(forwarder, settings.callers, settings.limits, settings.stop.limit_s)
         self._callers = callers
-        operators = asgi_server(
+        operators = operator_server(
             operator_app(self._control.secrets, self._metrics, self._status),
             settings.operators,
+            settings.limits,
+            self._on_operator_refused,
             _OPERATORS_STOP_TIMEOUT_S,
         )
         listeners: list[uvicorn.Server] = [callers, operators]
@@ -113,6 +116,10 @@
             listener.should_exit = True
             await task
 
+    def _on_operator_refused(self, refusal: Refusal) -> None:
+        self._metrics.on_refusal(refusal)
+        _log.info("request of an operator refused", status=refusal.status, reason=refusal.reason)
+
     def _entries(self) -> list[Entry]:
         membership = self._control.membership
         members = [membership.own, *membership.peers()]
--- a/src/sycamorebay/transport/forwarding/caller_protocol.py
+++ b/src/sycamorebay/transport/forwarding/caller_protocol.py
@@ -16,7 +16,7 @@
 )
 
 from sycamorebay.outcomes import NotRun, Refusal, Unknown
-from sycamorebay.protocol.header_names import BODILESS_STATUSES
+from sycamorebay.protocol.header_names import BODILESS_STATUSES, RawHeaders
 from sycamorebay.protocol.headers import Headers, header_value
 from sycamorebay.protocol.problem import raw_refusal
 from sycamorebay.protocol.request_head import (
@@ -49,6 +49,10 @@
         Size limits and timeouts for callers.
     on_refusal : callable
         Called with each refusal that a connection writes itself, as for bad input.
+    sender : str
+        Who sends the requests; refusals name it.
+    find_fault : callable
+        Returns the fault of a request's method, target, HTTP version and headers, or None.
     draining : bool
         Whether connections are closed after their next answer, so that callers reconnect to another
         entry.
@@ -56,11 +60,13 @@
 
     limits: CallerLimits
     on_refusal: Callable[[Refusal], None]
+    sender: str = "caller"
+    find_fault: Callable[[bytes, bytes, str, RawHeaders], HeadFault | None] = find_head_fault
     draining: bool = False
 
 
 class CallerProtocol(HttpToolsProtocol):
-    """uvicorn's HTTP/1.1 protocol with limited heads, timeouts and refusals.
+    """uvicorn's HTTP/1.1 protocol with limited heads and trailers, timeouts and refusals.
 
     Parameters
     ----------
@@ -221,7 +227,8 @@
         self._head_timer_started = False
         self._cancel_timer()
         version = self.parser.get_http_version()
-        fault = find_head_fault(self.parser.get_method(), self.url, version, self.headers)
+        find_fault = self._listener.find_fault
+        fault = find_fault(self.parser.get_method(), self.url, version, self.headers)
         if fault is None and len(self.pipeline) >= MAX_PIPELINED:
             fault = HeadFault(429, "too many requests are pipelined")
         if fault is not None:
@@ -294,7 +301,7 @@
             self._write_refusal(fault, Unknown)
 
     def _write_refusal(self, fault: HeadFault, outcome: type[NotRun] | type[Unknown]) -> None:
-        refusal = outcome("read", "caller", fault.reason, fault.status)
+        refusal = outcome("read", self._listener.sender, fault.reason, fault.status)
         self._listener.on_refusal(refusal)
         self.transport.write(raw_refusal(refusal))
         # Closing a socket with unread input resets the connection, and the refusal could be lost.
--- a/src/sycamorebay/transport/forwarding/front.py
+++ b/src/sycamorebay/transport/forwarding/front.py
@@ -12,6 +12,7 @@
 import uvicorn
 
 from sycamorebay import log
+from sycamorebay.outcomes import Refusal
 from sycamorebay.protocol.headers import Headers
 from sycamorebay.protocol.request_head import host_name
 from sycamorebay.settings import CallerLimits, Listen
@@ -203,18 +204,17 @@
     ----------
     config : uvicorn.Config
         The server's configuration.
-    listener : Listener, optional
-        State shared by the callers' connections; None for servers without callers.
+    listener : Listener
+        State shared by its connections.
     """
 
-    def __init__(self, config: uvicorn.Config, listener: Listener | None = None) -> None:
+    def __init__(self, config: uvicorn.Config, listener: Listener) -> None:
         super().__init__(config)
         self._listener = listener
 
     def start_draining(self) -> None:
         """Close each connection after its next answer, so that callers move before the shutdown."""
-        if self._listener is not None:
-            self._listener.draining = True
+        self._listener.draining = True
 
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
@@ -239,14 +239,20 @@
         How long a shutdown waits for requests in flight, in seconds.
     """
     listener = Listener(limits, forwarder.on_early_refusal)
-    config = _uvicorn_config(CallerApp(forwarder, limits), listen, stop_timeout_s)
-    config.http = functools.partial(CallerProtocol, listener=listener)  # type: ignore[assignment]
-    config.timeout_keep_alive = max(1, round(limits.idle_s))
-    return EmbeddedServer(config, listener)
+    return _embedded_server(CallerApp(forwarder, limits), listen, listener, stop_timeout_s)
 
 
-def asgi_server(app: Any, listen: Listen, stop_timeout_s: float) -> EmbeddedServer:
-    """Return the server of an ASGI application; run it with ``serve()``.
+def operator_server(
+    app: Any,
+    listen: Listen,
+    limits: CallerLimits,
+    on_refusal: Callable[[Refusal], None],
+    stop_timeout_s: float,
+) -> EmbeddedServer:
+    """Return the server for operators; run it with ``serve()``.
+
+    Requests are bounded as those of callers are. Their heads are not checked otherwise, since
+    health checks may come without a host or with an older version of HTTP.
 
     Parameters
     ----------
@@ -254,10 +260,24 @@
         The ASGI application.
     listen : Listen
         Address and port to listen on.
+    limits : CallerLimits
+        Size limits and timeouts.
+    on_refusal : callable
+        Called with each refusal of a request that was malformed, too large or too slow.
     stop_timeout_s : float
         How long a shutdown waits for requests in flight, in seconds.
     """
-    return EmbeddedServer(_uvicorn_config(app, listen, stop_timeout_s))
+    listener = Listener(limits, on_refusal, sender="operator", find_fault=lambda *_: None)
+    return _embedded_server(app, listen, listener, stop_timeout_s)
+
+
+def _embedded_server(
+    app: Any, listen: Listen, listener: Listener, stop_timeout_s: float
+) -> EmbeddedServer:
+    config = _uvicorn_config(app, listen, stop_timeout_s)
+    config.http = functools.partial(CallerProtocol, listener=listener)  # type: ignore[assignment]
+    config.timeout_keep_alive = max(1, round(listener.limits.idle_s))
+    return EmbeddedServer(config, listener)
 
 
 def _uvicorn_config(app: Any, listen: Listen, stop_timeout_s: float) -> uvicorn.Config:
--- a/tests/test_entry_untrusted_callers.py
+++ b/tests/test_entry_untrusted_callers.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -144,6 +145,14 @@
             victim = victim_of(started, OPERATORS_PORT)
             await self.check_victim(victim, pattern, ENDLESS_CROWD, ENDLESS_S)
 
+    @asynchronous
+    async def test_a_health_check_of_an_older_version_without_a_host_is_answered(self):
+        async with unconfigured_entry() as started:
+            reader, writer = await asyncio.open_connection(started.address, OPERATORS_PORT)
+            writer.write(b"GET /live HTTP/1.0\r\n\r\n")
+            self.assertIn(b" 200 ", await reader.readline())
+            writer.close()
+
 
 class HeldRequestsTest(UntrustedTest):
     async def check(self, pattern: Pattern, crowd: int = HELD_CROWD, port: int = CALLERS_PORT):
