Bound the connections of an entry and what they hold together

Seen: 4,500 idle connections to an entry's callers' or operators' address took it to 4,523 descriptors, where its VM leaves 3,900. Each connection may hold 16 heads, a part of a body and unread answers, with no bound for all of them: 300 connections took up to 149 MB.

Cause: a connection's own parts were bounded, their sum and number were not.

New settings limits.connections (2,000) and limits.memory_mb (64); operators may have 512 connections. The backlog is 512 and 64 instead of 2,048, as all of it may be accepted in one turn. An entry's connection parses through the paced feed, so that no connection keeps the others waiting.

With the guard alone 4,500 callers took 135 MB: closed connections were left to the collector, since parser, feed and requests referred to them. They let go of each other now when a connection ends.

--- a/src/sycamorebay/metrics.py
+++ b/src/sycamorebay/metrics.py
@@ -45,6 +45,8 @@
         Traffic with peers by direction, and dropped peer connections by reason.
     platform_calls : Counter
         Calls to the platform's service by kind.
+    connections_closed : Counter
+        Connections of callers and operators that were closed for a limit, by reason.
     """
 
     def __init__(self) -> None:
@@ -115,6 +117,21 @@
             registry=self.registry,
         )
 
+        self.connections_closed = Counter(
+            "sycamorebay_connections_closed",
+            "Connections of callers and operators closed for a limit, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
+
+    def on_memory_refused(self) -> None:
+        """Count a connection that was refused or closed as all together held too much memory."""
+        self.connections_closed.labels("memory").inc()
+
+    def on_connection_evicted(self) -> None:
+        """Count a connection that was closed as there were too many."""
+        self.connections_closed.labels("number").inc()
+
     def on_refusal(self, refusal: Refusal) -> None:
         """Count a refusal by its outcome and step."""
         self.refusals.labels(refusal.tag, refusal.step).inc()
--- a/src/sycamorebay/protocol/caller_connection.py
+++ b/src/sycamorebay/protocol/caller_connection.py
@@ -25,7 +25,7 @@
     WriteAnswer,
     WriteRefusal,
 )
-from sycamorebay.protocol.request_head import TOO_SLOW, HeadFault
+from sycamorebay.protocol.request_head import NO_ROOM, TOO_SLOW, HeadFault
 from sycamorebay.state.routing import RequestLimits
 
 MAX_PIPELINED = 32
@@ -33,7 +33,6 @@
 # unread input would reset the connection, and the answer could be lost.
 LINGER_S = 0.5
 BODY_TOO_SLOW = HeadFault(408, "the request's body took too long")
-NO_ROOM = HeadFault(503, "too many large requests are open")
 
 _Request = TypeVar("_Request", contravariant=True)
 
--- a/src/sycamorebay/protocol/request_head.py
+++ b/src/sycamorebay/protocol/request_head.py
@@ -38,6 +38,7 @@
 INTERNAL_ERROR = HeadFault(500, "the entry failed")
 TOO_LARGE = HeadFault(431, "the request's headers are too large")
 TARGET_TOO_LONG = HeadFault(414, "the request's target is too long")
+NO_ROOM = HeadFault(503, "too many large requests are open")
 TOO_SLOW = HeadFault(408, "the request's head took too long")
 
 
--- a/src/sycamorebay/settings.py
+++ b/src/sycamorebay/settings.py
@@ -188,6 +188,11 @@
         Timeout for the next request on a connection, in seconds.
     linger_s : float
         Time in seconds for which the rest of a body is read and discarded after an early answer.
+    connections : int
+        Maximum number of open connections of callers.
+    memory_mb : float
+        Maximum memory, in MB of a million bytes, that the connections of callers and operators
+        take together.
     """
 
     head_bytes: int = 32_768
@@ -197,6 +202,8 @@
     body_s: float = 30.0
     idle_s: float = 75.0
     linger_s: float = 2.0
+    connections: int = 2000
+    memory_mb: float = 64.0
 
 
 @attrs.frozen
--- a/src/sycamorebay/transport/entry/daemon.py
+++ b/src/sycamorebay/transport/entry/daemon.py
@@ -23,7 +23,7 @@
 from sycamorebay.transport.entry.operators import Status, operator_app
 from sycamorebay.transport.entry.timing import Timers
 from sycamorebay.transport.forwarding.forward import Forwarder
-from sycamorebay.transport.forwarding.front import caller_server, operator_server
+from sycamorebay.transport.forwarding.front import HttpServers
 from sycamorebay.transport.forwarding.probing import ProbeTask
 from sycamorebay.transport.forwarding.upstream import open_upstream
 from sycamorebay.transport.operations.keyed import KeyedOperations, open_operations
@@ -95,12 +95,12 @@
     async def _serve(self, forwarder: Forwarder) -> None:
         """Serve callers and operators until a signal arrives; the callers' listener stops first."""
         settings = self._settings
-        callers = caller_server(forwarder, settings.callers, settings.limits, settings.stop.limit_s)
+        servers = HttpServers(settings.limits, self._metrics)
+        callers = servers.caller_server(forwarder, settings.callers, settings.stop.limit_s)
         self._callers = callers
-        operators = operator_server(
+        operators = servers.operator_server(
             operator_app(self._control.secrets, self._metrics, self._status),
             settings.operators,
-            settings.limits,
             self._on_operator_refused,
             _OPERATORS_STOP_TIMEOUT_S,
         )
--- a/src/sycamorebay/transport/forwarding/caller_protocol.py
+++ b/src/sycamorebay/transport/forwarding/caller_protocol.py
@@ -9,18 +9,26 @@
 from typing import Any, cast
 
 import attrs
+from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import (
     STATUS_LINE,
     HttpToolsProtocol,
     RequestResponseCycle,
 )
 
+from sycamorebay.coordination.connection_slots import Phase
+from sycamorebay.coordination.held_memory import (
+    CONNECTION_BYTES,
+    REQUEST_OBJECT_BYTES,
+    SMALL_HEAD_BYTES,
+)
 from sycamorebay.outcomes import NotRun, Refusal, Unknown
 from sycamorebay.protocol.header_names import BODILESS_STATUSES, RawHeaders
 from sycamorebay.protocol.headers import Headers, header_value
 from sycamorebay.protocol.problem import raw_refusal
 from sycamorebay.protocol.request_head import (
     INTERNAL_ERROR,
+    NO_ROOM,
     TOO_LARGE,
     TOO_SLOW,
     HeadFault,
@@ -28,7 +36,10 @@
     origin_form,
 )
 from sycamorebay.settings import CallerLimits
+from sycamorebay.transport.forwarding.upstream import READ_BUFFER_BYTES
 from sycamorebay.transport.http.bounded_parser import BoundedParser, HeadLimits, RequestError
+from sycamorebay.transport.http.caller_guard import CallerGuard
+from sycamorebay.transport.http.paced_feed import PacedFeed
 
 # Key of the `CallerProtocol` among the extensions of the ASGI scope.
 CONNECTION_EXTENSION = "sycamorebay.connection"
@@ -39,6 +50,10 @@
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+# What the client holds at most of an answer while its caller does not read.
+ANSWER_BUFFER_BYTES = 2 * READ_BUFFER_BYTES
+
+
 @attrs.define
 class Listener:
     """State shared by all connections of one listener.
@@ -49,6 +64,8 @@
         Size limits and timeouts for callers.
     on_refusal : callable
         Called with each refusal that a connection writes itself, as for bad input.
+    guard : CallerGuard
+        Bounds the connections and what they hold.
     sender : str
         Who sends the requests; refusals name it.
     find_fault : callable
@@ -60,11 +77,28 @@
 
     limits: CallerLimits
     on_refusal: Callable[[Refusal], None]
+    guard: CallerGuard = attrs.field(factory=CallerGuard)
     sender: str = "caller"
     find_fault: Callable[[bytes, bytes, str, RawHeaders], HeadFault | None] = find_head_fault
     draining: bool = False
 
 
+class _FeedFlow(FlowControl):
+    """uvicorn's flow control, by which neither the socket nor the feed goes on."""
+
+    def __init__(self, transport: asyncio.Transport, feed: PacedFeed) -> None:
+        super().__init__(transport)
+        self._feed = feed
+
+    def pause_reading(self) -> None:
+        self.read_paused = True
+        self._feed.hold_back(True)
+
+    def resume_reading(self) -> None:
+        self.read_paused = False
+        self._feed.hold_back(False)
+
+
 class CallerProtocol(HttpToolsProtocol):
     """uvicorn's HTTP/1.1 protocol with limited heads and trailers, timeouts and refusals.
 
@@ -88,6 +122,9 @@
         self._head_timer_started = False
         self._ignores_input = False
         self._timer: asyncio.TimerHandle | None = None
+        self._feed = PacedFeed(self._parse, self._on_fed)
+        # Memory of the heads of requests that are not answered yet, in order.
+        self._head_memory_by_cycle: dict[RequestResponseCycle, int] = {}
         self._active_cycle: RequestResponseCycle | None = None
         self._active_task: asyncio.Task[None] | None = None
 
@@ -99,20 +136,35 @@
         return HeadLimits(head_bytes, limits.headers, limits.target_bytes)
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
-        """Start the idle timeout for the first request."""
+        """Register the connection, and start the idle timeout for the first request."""
         super().connection_made(transport)
+        self._feed.open(transport)
+        self.flow = _FeedFlow(transport, self._feed)
+        self._listener.guard.on_connected(self)
         self._start_timer(self._listener.limits.idle_s, self._on_head_timeout)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in flight, because its caller has disconnected."""
+        self._listener.guard.on_lost(self)
+        self._feed.close()
+        self._bounded_parser.drop()
         super().connection_lost(exc)
         self._unset_keepalive_if_required()
         self._cancel_timer()
         self._ignores_input = True
+        self._head_memory_by_cycle.clear()
         active = self._active_cycle
         if active is not None and not active.response_complete:
             active.disconnected = True
             self._cancel_active()
+        else:
+            self._forget_requests()
+
+    def _forget_requests(self) -> None:
+        """Refer to no request of a connection that has ended; each of them refers to it."""
+        self.cycle = None  # type: ignore[assignment]
+        self.scope = {}  # type: ignore[typeddict-item]
+        self.pipeline.clear()
 
     def abort(self) -> None:
         """Reset the connection, so that a truncated answer is not mistaken for a complete one."""
@@ -189,22 +241,83 @@
         active.on_response()
         return True
 
+    @property
+    def phase(self) -> Phase:
+        """What the connection is doing."""
+        if self._active_cycle is not None:
+            return Phase.BUSY
+        return Phase.INCOMPLETE if self._is_receiving else Phase.IDLE
+
+    @property
+    def is_light(self) -> bool:
+        """Whether the connection holds no more than one small request, and nothing incomplete."""
+        if self._is_receiving or self.flow.write_paused or len(self._head_memory_by_cycle) > 1:
+            return False
+        return all(size <= SMALL_HEAD_BYTES for size in self._head_memory_by_cycle.values())
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that the connection makes the process hold, beside unsent answers."""
+        held = CONNECTION_BYTES + self._feed.held_bytes
+        if self._reading_head:
+            held += self._bounded_parser.held_bytes
+        for cycle, head_bytes in self._head_memory_by_cycle.items():
+            held += head_bytes + len(cycle.body)
+        if self.flow.write_paused:
+            held += ANSWER_BUFFER_BYTES
+        return held
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that wait for the caller."""
+        return self.transport.get_write_buffer_size()
+
+    def shed(self) -> None:
+        """Refuse an incomplete request, or reset the connection."""
+        if self.phase is Phase.INCOMPLETE and not self._ignores_input:
+            self._refuse(NO_ROOM)
+        else:
+            self.abort()
+
+    @property
+    def _bounded_parser(self) -> BoundedParser:
+        return cast(BoundedParser, self.parser)
+
+    @property
+    def _is_receiving(self) -> bool:
+        return self._reading_head or self._reading_body or self._feed.has_rest
+
     def data_received(self, data: bytes) -> None:
-        """Feed the parser. Refuse malformed input and heads that are too large."""
+        """Parse received bytes, some of them later if they are much work."""
         if self._ignores_input:
             return
         self._unset_keepalive_if_required()
+        self._feed.receive(data)
+
+    def _on_fed(self) -> None:
+        if not self._ignores_input:
+            self._listener.guard.on_changed(self)
+
+    def _parse(self, data: bytes | memoryview) -> int:
+        """Parse bytes, refuse what exceeds a limit, and return the steps of work."""
+        if self._ignores_input:
+            return 0
+        steps = self._bounded_parser.steps
         try:
-            self.parser.feed_data(data)
+            self._bounded_parser.feed_data(data)
         except RequestError as error:
             self._refuse(error.fault)
-            return
+            return 0
+        self._start_head_timer()
+        return self._bounded_parser.steps - steps
+
+    def _start_head_timer(self) -> None:
+        """Bound the time of a head that has begun."""
         if self._reading_body or self._head_timer_started:
             return
-        if cast(BoundedParser, self.parser).is_between_messages:
-            return
-        self._start_timer(self._listener.limits.head_s, self._on_head_timeout)
-        self._head_timer_started = True
+        if not self._bounded_parser.is_between_messages:
+            self._start_timer(self._listener.limits.head_s, self._on_head_timeout)
+            self._head_timer_started = True
 
     def on_message_begin(self) -> None:
         """Start counting the bytes of a head."""
@@ -236,6 +349,8 @@
         self.url = origin_form(self.url) or b"/"
         self._reading_body = True
         super().on_headers_complete()
+        held = self._bounded_parser.held_bytes + REQUEST_OBJECT_BYTES
+        self._head_memory_by_cycle[self.cycle] = held
 
     def on_message_complete(self) -> None:
         """Wait for the next head.
@@ -251,7 +366,10 @@
         """Start the next pipelined request, write a pending refusal or drain an unread body."""
         finished = self._active_cycle
         self._active_cycle = self._active_task = None
+        if finished is not None:
+            self._head_memory_by_cycle.pop(finished, None)
         super().on_response_complete()
+        self._listener.guard.on_changed(self)
         if self._active_cycle is not None or self.transport.is_closing():
             return
         if self._pending_refusal is not None:
@@ -261,11 +379,18 @@
 
     def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
         task = self.loop.create_task(cycle.run_asgi(app))
-        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(self._on_task_done)
         self.tasks.add(task)
         self._active_cycle = cycle
         self._active_task = task
 
+    def _on_task_done(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if self.parser is None:
+            # The connection was lost while the request was at work.
+            self._active_cycle = self._active_task = None
+            self._forget_requests()
+
     def _on_head_timeout(self) -> None:
         """Refuse a head that took too long, or close an idle connection."""
         self._timer = None
@@ -278,6 +403,7 @@
         """Refuse the message that is being parsed, once all earlier requests are answered."""
         self._ignores_input = True
         self._cancel_timer()
+        self._drop_unparsed()
         active = self._active_cycle
         if active is None:
             self._write_refusal(fault, NotRun)
@@ -286,10 +412,19 @@
         else:
             if self._reading_body and self.pipeline:
                 # uvicorn adds requests on the left, so this is the one being parsed.
-                self.pipeline.popleft()
+                cycle, _ = self.pipeline.popleft()
+                self._head_memory_by_cycle.pop(cycle, None)
             self.flow.pause_reading()
             self._pending_refusal = fault
 
+    def _drop_unparsed(self) -> None:
+        """Drop what has arrived of a request that is refused."""
+        self._feed.drop()
+        self._bounded_parser.drop()
+        if self._reading_head:
+            # The scope of the request, which is never started, refers to this list.
+            self.headers.clear()
+
     def _refuse_active(self, active: RequestResponseCycle, fault: HeadFault) -> None:
         has_started = active.response_started
         active.disconnected = True
--- a/src/sycamorebay/transport/forwarding/front.py
+++ b/src/sycamorebay/transport/forwarding/front.py
@@ -12,6 +12,7 @@
 import uvicorn
 
 from sycamorebay import log
+from sycamorebay.coordination.memory_budget import MEGABYTE
 from sycamorebay.outcomes import Refusal
 from sycamorebay.protocol.headers import Headers
 from sycamorebay.protocol.request_head import host_name
@@ -28,6 +29,12 @@
 )
 from sycamorebay.transport.forwarding.forward import Forwarder
 from sycamorebay.transport.forwarding.upstream import CallerBodyError, TruncatedAnswerError
+from sycamorebay.transport.http.caller_guard import CallerGuard, CallerMemory, ClosureCounters
+
+MAX_OPERATOR_CONNECTIONS = 512
+# Connections that the kernel accepts before the daemon takes them.
+CALLERS_BACKLOG = 512
+OPERATORS_BACKLOG = 64
 
 _log = log.get_logger("front")
 
@@ -222,65 +229,85 @@
         yield
 
 
-def caller_server(
-    forwarder: Forwarder, listen: Listen, limits: CallerLimits, stop_timeout_s: float
-) -> EmbeddedServer:
-    """Return the server for callers; run it with ``serve()``.
+class HttpServers:
+    """Creates the servers of one daemon, which share the memory for connections.
 
     Parameters
     ----------
-    forwarder : Forwarder
-        Returns the answer of each request.
-    listen : Listen
-        Address and port to listen on.
     limits : CallerLimits
-        Size limits and timeouts for callers.
-    stop_timeout_s : float
-        How long a shutdown waits for requests in flight, in seconds.
+        Limits and timeouts of requests and connections.
+    counters : ClosureCounters
+        Counts the connections that are closed for a limit.
     """
-    listener = Listener(limits, forwarder.on_early_refusal)
-    return _embedded_server(CallerApp(forwarder, limits), listen, listener, stop_timeout_s)
-
-
-def operator_server(
-    app: Any,
-    listen: Listen,
-    limits: CallerLimits,
-    on_refusal: Callable[[Refusal], None],
-    stop_timeout_s: float,
-) -> EmbeddedServer:
-    """Return the server for operators; run it with ``serve()``.
 
-    Requests are bounded as those of callers are. Their heads are not checked otherwise, since
-    health checks may come without a host or with an older version of HTTP.
+    def __init__(self, limits: CallerLimits, counters: ClosureCounters) -> None:
+        self._limits = limits
+        self._counters = counters
+        held_bytes = int(limits.memory_mb * MEGABYTE)
+        self._memory = CallerMemory(counters, held_bytes, max_sampled_bytes=held_bytes)
+
+    def caller_server(
+        self, forwarder: Forwarder, listen: Listen, stop_timeout_s: float
+    ) -> EmbeddedServer:
+        """Return the server for callers; run it with ``serve()``.
+
+        Parameters
+        ----------
+        forwarder : Forwarder
+            Returns the answer of each request.
+        listen : Listen
+            Address and port to listen on.
+        stop_timeout_s : float
+            How long a shutdown waits for requests in flight, in seconds.
+        """
+        guard = self._guard(self._limits.connections)
+        listener = Listener(self._limits, forwarder.on_early_refusal, guard)
+        app = CallerApp(forwarder, self._limits)
+        return _embedded_server(app, listen, listener, CALLERS_BACKLOG, stop_timeout_s)
+
+    def operator_server(
+        self,
+        app: Any,
+        listen: Listen,
+        on_refusal: Callable[[Refusal], None],
+        stop_timeout_s: float,
+    ) -> EmbeddedServer:
+        """Return the server for operators; run it with ``serve()``.
+
+        Requests are bounded as those of callers are. Their heads are not checked otherwise, since
+        health checks may come without a host or with an older version of HTTP.
+
+        Parameters
+        ----------
+        app : callable
+            The ASGI application.
+        listen : Listen
+            Address and port to listen on.
+        on_refusal : callable
+            Called with each refusal of a request that was malformed, too large or too slow.
+        stop_timeout_s : float
+            How long a shutdown waits for requests in flight, in seconds.
+        """
+        guard = self._guard(MAX_OPERATOR_CONNECTIONS)
+        listener = Listener(self._limits, on_refusal, guard, "operator", lambda *_: None)
+        return _embedded_server(app, listen, listener, OPERATORS_BACKLOG, stop_timeout_s)
 
-    Parameters
-    ----------
-    app : callable
-        The ASGI application.
-    listen : Listen
-        Address and port to listen on.
-    limits : CallerLimits
-        Size limits and timeouts.
-    on_refusal : callable
-        Called with each refusal of a request that was malformed, too large or too slow.
-    stop_timeout_s : float
-        How long a shutdown waits for requests in flight, in seconds.
-    """
-    listener = Listener(limits, on_refusal, sender="operator", find_fault=lambda *_: None)
-    return _embedded_server(app, listen, listener, stop_timeout_s)
+    def _guard(self, max_connections: int) -> CallerGuard:
+        return CallerGuard(time.monotonic, self._counters, self._memory, max_connections)
 
 
 def _embedded_server(
-    app: Any, listen: Listen, listener: Listener, stop_timeout_s: float
+    app: Any, listen: Listen, listener: Listener, backlog: int, stop_timeout_s: float
 ) -> EmbeddedServer:
-    config = _uvicorn_config(app, listen, stop_timeout_s)
+    config = _uvicorn_config(app, listen, backlog, stop_timeout_s)
     config.http = functools.partial(CallerProtocol, listener=listener)  # type: ignore[assignment]
     config.timeout_keep_alive = max(1, round(listener.limits.idle_s))
     return EmbeddedServer(config, listener)
 
 
-def _uvicorn_config(app: Any, listen: Listen, stop_timeout_s: float) -> uvicorn.Config:
+def _uvicorn_config(
+    app: Any, listen: Listen, backlog: int, stop_timeout_s: float
+) -> uvicorn.Config:
     return uvicorn.Config(
         app,
         host=listen.address,
@@ -293,6 +320,6 @@
         server_header=False,
         date_header=False,
         proxy_headers=False,
-        backlog=2048,
+        backlog=backlog,
         timeout_graceful_shutdown=max(1, round(stop_timeout_s)),
     )
--- a/src/sycamorebay/transport/gateway/counters.py
+++ b/src/sycamorebay/transport/gateway/counters.py
@@ -143,6 +143,14 @@
         self.answered = LatencyHistogram()
         self.backend = LatencyHistogram()
 
+    def on_memory_refused(self) -> None:
+        """Count a connection that was refused or closed as callers held too much memory."""
+        self.memory_refused += 1
+
+    def on_connection_evicted(self) -> None:
+        """Count a connection that was closed as there were too many."""
+        self.connections_evicted += 1
+
     def on_refusal(self, refusal: Refusal) -> None:
         """Count a refused request by its outcome and step."""
         key = (refusal.tag, refusal.step)
--- a/src/sycamorebay/transport/http/caller_guard.py
+++ b/src/sycamorebay/transport/http/caller_guard.py
@@ -10,7 +10,6 @@
 from sycamorebay.coordination.connection_slots import ConnectionSlots, Phase
 from sycamorebay.coordination.held_memory import HeldMemory
 from sycamorebay.coordination.memory_budget import REQUEST_BYTES
-from sycamorebay.transport.gateway.counters import Counters
 
 # Light connections are counted together, as that costs time for each request.
 SETTLE_INTERVAL_S = 0.05
@@ -57,6 +56,28 @@
         ...
 
 
+class ClosureCounters(Protocol):
+    """Counts the connections that are closed for a limit."""
+
+    def on_memory_refused(self) -> None:
+        """Count one that was refused or closed as all together held too much memory."""
+        ...
+
+    def on_connection_evicted(self) -> None:
+        """Count one that was closed as there were too many."""
+        ...
+
+
+class Uncounted:
+    """`ClosureCounters` that count nothing."""
+
+    def on_memory_refused(self) -> None:
+        """Count nothing."""
+
+    def on_connection_evicted(self) -> None:
+        """Count nothing."""
+
+
 class LimitLog:
     """Logs that connections are closed for a limit, at most once in `LOG_INTERVAL_S`.
 
@@ -85,14 +106,22 @@
 
     Parameters
     ----------
-    counters : Counters
+    counters : ClosureCounters
         Metrics of this daemon.
     limit : int
         Most bytes of all connections together.
+    max_sampled_bytes : int
+        Most bytes that wait for one caller and are counted here.
     """
 
-    def __init__(self, counters: Counters, limit: int = REQUEST_BYTES) -> None:
+    def __init__(
+        self,
+        counters: ClosureCounters,
+        limit: int = REQUEST_BYTES,
+        max_sampled_bytes: int = MAX_SAMPLED_BYTES,
+    ) -> None:
         self._counters = counters
+        self._max_sampled_bytes = max_sampled_bytes
         self._held: HeldMemory[GuardedConnection] = HeldMemory(limit)
         self._unsent_by_connection: dict[GuardedConnection, int] = {}
         self._slots_by_changed: dict[GuardedConnection, ConnectionSlots[GuardedConnection]] = {}
@@ -130,7 +159,7 @@
 
     def _sample(self, now: float) -> None:
         self._sampled_at = now
-        sizes = ((one, min(one.unsent_bytes, MAX_SAMPLED_BYTES)) for one in self._held)
+        sizes = ((one, min(one.unsent_bytes, self._max_sampled_bytes)) for one in self._held)
         before = self._unsent_by_connection
         self._unsent_by_connection = {one: size for one, size in sizes if size}
         for connection in before.keys() | self._unsent_by_connection.keys():
@@ -144,7 +173,7 @@
         used = self._held.used
         connections = self._held.pop_largest()
         for connection in connections:
-            self._counters.memory_refused += 1
+            self._counters.on_memory_refused()
             connection.shed()
         self._limit_log.on_closed(len(connections), now, held_bytes=used)
 
@@ -156,7 +185,7 @@
     ----------
     clock : callable
         Returns seconds on a monotonic clock.
-    counters : Counters, optional
+    counters : ClosureCounters, optional
         Metrics of this daemon.
     memory : CallerMemory, optional
         Shared with other listeners.
@@ -167,12 +196,12 @@
     def __init__(
         self,
         clock: Callable[[], float] = time.monotonic,
-        counters: Counters | None = None,
+        counters: ClosureCounters | None = None,
         memory: CallerMemory | None = None,
         max_connections: int = DEFAULT_MAX_CONNECTIONS,
     ) -> None:
         self._clock = clock
-        self._counters = counters or Counters()
+        self._counters = counters or Uncounted()
         self._memory = memory or CallerMemory(self._counters)
         self._limit_log = LimitLog("too many connections")
         self._slots: ConnectionSlots[GuardedConnection] = ConnectionSlots(max_connections)
@@ -183,7 +212,7 @@
         self._memory.settle(now)
         victim = self._slots.add(connection, now)
         if victim is not None:
-            self._counters.connections_evicted += 1
+            self._counters.on_connection_evicted()
             self._limit_log.on_closed(1, now, open=len(self._slots), phase=victim.phase.name)
             victim.abort()
         if victim is not connection:
--- a/src/sycamorebay/transport/http/paced_feed.py
+++ b/src/sycamorebay/transport/http/paced_feed.py
@@ -14,6 +14,14 @@
 _NOTHING = memoryview(b"")
 
 
+def _take_nothing(_: bytes | memoryview) -> int:
+    return 0
+
+
+def _do_nothing() -> None:
+    pass
+
+
 class PacedFeed:
     """The received bytes of one connection, fed in slices.
 
@@ -91,6 +99,15 @@
         self.held_bytes = 0
         self._cancel_turn()
 
+    def close(self) -> None:
+        """Drop what was received, and refer to the connection no longer, which has ended.
+
+        The connection refers to its feed; without this, only the collector would free both.
+        """
+        self.drop()
+        self._feed, self._on_fed = _take_nothing, _do_nothing
+        self._transport = None
+
     def _run(self) -> None:
         steps = 0
         while self.has_rest and not self._is_held_back and not self._is_closing():
--- a/tests/one_entry.py
+++ b/tests/one_entry.py
@@ -21,8 +21,9 @@
 from sycamorebay.settings import CallerLimits, Listen, LogSettings
 from sycamorebay.state.document import Document, load_document
 from sycamorebay.transport.forwarding.forward import Forwarder
-from sycamorebay.transport.forwarding.front import caller_server
+from sycamorebay.transport.forwarding.front import HttpServers
 from sycamorebay.transport.forwarding.upstream import Upstream, open_upstream
+from sycamorebay.transport.http.caller_guard import Uncounted
 from tests.support import lone_operations
 
 ROUTES = [
@@ -220,9 +221,8 @@
             await backend.start()
             stack.callback(backend.stop)
         entry = OneEntry(backends, upstream or await stack.enter_async_context(open_upstream()))
-        server = caller_server(
-            entry.forwarder, Listen("127.0.0.1", 0), limits or CallerLimits(), 1.0
-        )
+        servers = HttpServers(limits or CallerLimits(), Uncounted())
+        server = servers.caller_server(entry.forwarder, Listen("127.0.0.1", 0), 1.0)
         serving = asyncio.create_task(server.serve())
         assert await eventually(lambda: server.started)
         entry.port = server.servers[0].sockets[0].getsockname()[1]
