Free a caller's connection when it ends, without the collector

Seen, in a trial with the objects that the collector finds: each closed connection of a gateway, an idle one as well, left some 20 objects in cycles (connection, reader, parser, feed, transport). The collector visits old objects rarely, so that callers who reconnect at speed fill the memory that the account of open connections has given back.

Cause: connection, reader, parser and feed refer to each other.

Change: reader, parser and feed let go of their owner when the connection ends.

Evidence: test_a_closed_connection_is_freed_without_the_collector failed before; the trial finds no object now, for idle, served, incomplete and refused connections.

--- a/src/sycamorebay/transport/gateway/callers/connection.py
+++ b/src/sycamorebay/transport/gateway/callers/connection.py
@@ -145,7 +145,8 @@
         self._listener.guard.on_lost(self)
         self._listener.slow_callers.discard(self)
         self._perform(self._machine.on_lost())
-        self._feed.drop()
+        self._feed.close()
+        self._reader.close()
         if self._stream is not None:
             self._stream.abort()
         # A sender that waits for the caller finds the stream aborted.
--- a/src/sycamorebay/transport/gateway/callers/request_reader.py
+++ b/src/sycamorebay/transport/gateway/callers/request_reader.py
@@ -62,6 +62,27 @@
         ...
 
 
+class _NoHandler:
+    """The `RequestHandler` of a reader whose connection has ended."""
+
+    request_limits = RequestLimits()
+
+    def on_request_begin(self) -> None:
+        pass
+
+    def on_request_head(self, head: RequestHead) -> None:
+        pass
+
+    def on_chunk(self, size: int) -> HeadFault | None:
+        return None
+
+    def on_request(self, request: CallerRequest, keep_alive: bool) -> None:
+        pass
+
+
+_NO_HANDLER = _NoHandler()
+
+
 class RequestReader:
     """Parses requests and passes them to a handler.
 
@@ -79,7 +100,7 @@
     """
 
     def __init__(self, handler: RequestHandler, clock: Callable[[], float]) -> None:
-        self._handler = handler
+        self._handler: RequestHandler = handler
         self._clock = clock
         self.caller = ""
         self._parser = BoundedParser(self)
@@ -190,6 +211,11 @@
         self._parser.drop()
         self._headers, self._target = [], b""
 
+    def close(self) -> None:
+        """Drop what has arrived, and refer to the handler no longer, whose connection has ended."""
+        self.drop()
+        self._handler = _NO_HANDLER
+
 
 def _refuse_if(fault: HeadFault | None) -> None:
     if fault is not None:
--- a/src/sycamorebay/transport/http/bounded_parser.py
+++ b/src/sycamorebay/transport/http/bounded_parser.py
@@ -90,6 +90,33 @@
         ...
 
 
+class _NoOwner:
+    """The `ParserOwner` of a parser that parses nothing more."""
+
+    head_limits = HeadLimits(0)
+
+    def on_message_begin(self) -> None:
+        pass
+
+    def on_url(self, url: bytes) -> None:
+        pass
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        pass
+
+    def on_headers_complete(self) -> None:
+        pass
+
+    def on_body(self, body: bytes) -> None:
+        pass
+
+    def on_message_complete(self) -> None:
+        pass
+
+
+_NO_OWNER = _NoOwner()
+
+
 class BoundedParser:
     """Parses requests within limits and passes their parts to an owner.
 
@@ -109,7 +136,7 @@
     """
 
     def __init__(self, owner: ParserOwner) -> None:
-        self._owner = owner
+        self._owner: ParserOwner = owner
         self._parser = httptools.HttpRequestParser(self)
         self._limits = owner.head_limits
         self._head = HeadMeter()
@@ -178,9 +205,13 @@
         return False
 
     def drop(self) -> None:
-        """Drop what has arrived of a request that nobody takes; nothing more may be parsed."""
+        """Drop what has arrived of a request that nobody takes; nothing more may be parsed.
+
+        The owner refers to its parser; without this, only the collector would free both.
+        """
         self._head.reset()
         self._header_count = 0
+        self._owner = _NO_OWNER
         # The library holds what it has of an incomplete header.
         self._parser = _UNUSED_PARSER
 
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import gc
+import weakref
 
 import testtools
 from hypothesis import given
@@ -181,6 +183,29 @@
         received.clear()
 
 
+    @asynchronous
+    async def test_a_closed_connection_is_freed_without_the_collector(self):
+        async def handle(_request: CallerRequest) -> CallerAnswer:
+            return CallerAnswer(200, [])
+
+        listener = Listener(handle)
+        gc.disable()
+        try:
+            for received in (b"", START, START + b"\r\n", START + b"x: " + b"x" * HEAD_LIMIT):
+                connection, transport = listener.create_connection(), PausableTransport()
+                connection.connection_made(transport)
+                await transport.deliver(connection, [received] if received else [])
+                for _ in range(10):
+                    await asyncio.sleep(0)
+                connection.connection_lost(None)
+                await asyncio.sleep(0)
+                reference = weakref.ref(connection)
+                del connection, transport
+                self.assertIsNone(reference(), received[:40])
+        finally:
+            gc.enable()
+
+
 class ConnectionSlotsTest(testtools.TestCase):
     def fill(self, *phases: Phase) -> ConnectionSlots[int]:
         slots: ConnectionSlots[int] = ConnectionSlots(len(phases))
