Drop the bytes that are not parsed yet of a request that is refused

Cause: a connection keeps received bytes that are more work than a turn of the event loop allows. The account of all connections counts them, and the largest connections are refused. With the refusal the account forgets them, but the feed kept them to its next turn, behind those of all other connections: in one turn each of 1,500 connections could be refused and keep 64 KB and more.

Change: what releases the body of a refused request also drops the bytes that follow, as input is ignored from then on; reading goes on, so that the refusal isn't lost by a reset.

--- a/src/sycamorebay/transport/gateway/callers/connection.py
+++ b/src/sycamorebay/transport/gateway/callers/connection.py
@@ -309,7 +309,11 @@
         self._reservation = self._listener.bodies.open()
 
     def _release_body(self) -> None:
-        """Give back the room of a body that is not whole, and drop what has arrived of it."""
+        """Give back the room of a body that is not whole, and drop what has arrived of it.
+
+        Input is ignored from now on, so that bytes which are not parsed yet are not needed either.
+        """
+        self._feed.drop()
         self._reader.drop()
         if self._reservation is not None:
             self._reservation.release()
--- a/src/sycamorebay/transport/http/paced_feed.py
+++ b/src/sycamorebay/transport/http/paced_feed.py
@@ -94,10 +94,11 @@
             self._feed(rest)
 
     def drop(self) -> None:
-        """Drop what was received and not fed."""
+        """Drop what was received and not fed, and read on."""
         self._rest = _NOTHING
         self.held_bytes = 0
         self._cancel_turn()
+        self._update_reading()
 
     def close(self) -> None:
         """Drop what was received, and refer to the connection no longer, which has ended.
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -183,6 +183,24 @@
         received.clear()
 
 
+    @asynchronous
+    async def test_bytes_that_were_not_parsed_yet_are_not_held_once_their_request_is_refused(self):
+        async def handle(_request: CallerRequest) -> CallerAnswer:
+            return CallerAnswer(200, [])
+
+        counters = Counters()
+        memory = CallerMemory(counters, limit=100_000)
+        listener = Listener(handle, guard=CallerGuard(counters=counters, memory=memory))
+        other, connection = listener.create_connection(), listener.create_connection()
+        transport = PausableTransport()
+        other.connection_made(PausableTransport())
+        connection.connection_made(transport)
+        received = bytearray(START + b"a:b\r\n" * 40_000)
+        connection.data_received(received)
+        self.assertEqual((1, b"HTTP/1.1 503"), (counters.memory_refused, transport.written[:12]))
+        # Raises BufferError while something refers to the bytes.
+        received.clear()
+
     @asynchronous
     async def test_a_closed_connection_is_freed_without_the_collector(self):
         async def handle(_request: CallerRequest) -> CallerAnswer:
