Share the turns of the event loop among all connections, the light ones first

Cause: what one connection may have parsed in a turn of the event loop was bounded, not what all have together: 500 connections, each with its part, make a turn of seconds. A slice of 16 KiB of a head alone may be 3,000 headers. An ordinary request needs several turns.

Change: connections wait for a turn in one order. Connections that didn't exhaust their part lately go first. Entry and gateway share the code; connections to servers keep turns of their own.

--- a/src/sycamorebay/transport/forwarding/caller_protocol.py
+++ b/src/sycamorebay/transport/forwarding/caller_protocol.py
@@ -40,6 +40,7 @@
 from sycamorebay.transport.http.bounded_parser import BoundedParser, HeadLimits, RequestError
 from sycamorebay.transport.http.caller_guard import CallerGuard
 from sycamorebay.transport.http.paced_feed import PacedFeed
+from sycamorebay.transport.http.turns import Turns
 
 # Key of the `CallerProtocol` among the extensions of the ASGI scope.
 CONNECTION_EXTENSION = "sycamorebay.connection"
@@ -66,6 +67,8 @@
         Called with each refusal that a connection writes itself, as for bad input.
     guard : CallerGuard
         Bounds the connections and what they hold.
+    turns : Turns
+        Shares the work of parsing among connections.
     sender : str
         Who sends the requests; refusals name it.
     find_fault : callable
@@ -78,6 +81,7 @@
     limits: CallerLimits
     on_refusal: Callable[[Refusal], None]
     guard: CallerGuard = attrs.field(factory=CallerGuard)
+    turns: Turns = attrs.field(factory=Turns)
     sender: str = "caller"
     find_fault: Callable[[bytes, bytes, str, RawHeaders], HeadFault | None] = find_head_fault
     draining: bool = False
@@ -122,7 +126,9 @@
         self._head_timer_started = False
         self._ignores_input = False
         self._timer: asyncio.TimerHandle | None = None
-        self._feed = PacedFeed(self._parse, self._on_fed)
+        self._feed = PacedFeed(
+            self._parse, self._on_fed, listener.turns, self._bounded_parser.slice_bytes
+        )
         # Memory of the heads of requests that are not answered yet, in order.
         self._head_memory_by_cycle: dict[RequestResponseCycle, int] = {}
         self._active_cycle: RequestResponseCycle | None = None
--- a/src/sycamorebay/transport/forwarding/front.py
+++ b/src/sycamorebay/transport/forwarding/front.py
@@ -30,6 +30,7 @@
 from sycamorebay.transport.forwarding.forward import Forwarder
 from sycamorebay.transport.forwarding.upstream import CallerBodyError, TruncatedAnswerError
 from sycamorebay.transport.http.caller_guard import CallerGuard, CallerMemory, ClosureCounters
+from sycamorebay.transport.http.turns import Turns
 
 MAX_OPERATOR_CONNECTIONS = 512
 # Connections that the kernel accepts before the daemon takes them.
@@ -245,6 +246,7 @@
         self._counters = counters
         held_bytes = int(limits.memory_mb * MEGABYTE)
         self._memory = CallerMemory(counters, held_bytes, max_sampled_bytes=held_bytes)
+        self._turns = Turns()
 
     def caller_server(
         self, forwarder: Forwarder, listen: Listen, stop_timeout_s: float
@@ -261,7 +263,7 @@
             How long a shutdown waits for requests in flight, in seconds.
         """
         guard = self._guard(self._limits.connections)
-        listener = Listener(self._limits, forwarder.on_early_refusal, guard)
+        listener = Listener(self._limits, forwarder.on_early_refusal, guard, self._turns)
         app = CallerApp(forwarder, self._limits)
         return _embedded_server(app, listen, listener, CALLERS_BACKLOG, stop_timeout_s)
 
@@ -289,7 +291,9 @@
             How long a shutdown waits for requests in flight, in seconds.
         """
         guard = self._guard(MAX_OPERATOR_CONNECTIONS)
-        listener = Listener(self._limits, on_refusal, guard, "operator", lambda *_: None)
+        listener = Listener(
+            self._limits, on_refusal, guard, self._turns, "operator", lambda *_: None
+        )
         return _embedded_server(app, listen, listener, OPERATORS_BACKLOG, stop_timeout_s)
 
     def _guard(self, max_connections: int) -> CallerGuard:
--- a/src/sycamorebay/transport/gateway/callers/caller_limits.py
+++ b/src/sycamorebay/transport/gateway/callers/caller_limits.py
@@ -14,6 +14,7 @@
 from sycamorebay.transport.gateway.counters import Counters
 from sycamorebay.transport.gateway.settings import GatewaySettings
 from sycamorebay.transport.http.caller_guard import CallerGuard, CallerMemory
+from sycamorebay.transport.http.turns import Turns
 
 # Of the memory for requests, the share that connections may take before they send anything.
 CONNECTION_MEMORY_SHARE = 1 / 2
@@ -43,6 +44,7 @@
         self._memory = CallerMemory(counters, budget.request_bytes)
         self._slow_callers = SlowCallers(counters, budget.unsent_bytes)
         self._bodies = BodyReservations(budget.body_bytes)
+        self._turns = Turns()
 
     def caller_listener(self, handler: Handler, **changes: Any) -> Listener:
         """Return the listener for callers."""
@@ -58,6 +60,7 @@
             counters=self._counters,
             slow_callers=self._slow_callers,
             bodies=self._bodies,
+            turns=self._turns,
             guard=CallerGuard(time.monotonic, self._counters, self._memory, max_connections),
             **changes,
         )
--- a/src/sycamorebay/transport/gateway/callers/connection.py
+++ b/src/sycamorebay/transport/gateway/callers/connection.py
@@ -56,7 +56,7 @@
         # While actions are performed: these, with those that they cause.
         self._due_actions: list[Action[OpenRequest]] | None = None
         self._reader = RequestReader(self, self._loop.time)
-        self._feed = PacedFeed(self._parse, self._on_fed)
+        self._feed = PacedFeed(self._parse, self._on_fed, listener.turns, self._reader.slice_bytes)
         self._head_headers: RawHeaders = []
         self._reservation: Reservation | None = None
         # Set before any other event by `connection_made`.
--- a/src/sycamorebay/transport/gateway/callers/listener.py
+++ b/src/sycamorebay/transport/gateway/callers/listener.py
@@ -19,6 +19,7 @@
 from sycamorebay.transport.gateway.callers.slow_callers import SlowCallers
 from sycamorebay.transport.gateway.counters import Counters
 from sycamorebay.transport.http.caller_guard import CallerGuard
+from sycamorebay.transport.http.turns import Turns
 
 Handler = Callable[[CallerRequest], Coroutine[Any, Any, CallerAnswer]]
 
@@ -50,6 +51,8 @@
         Bounds the bytes of requests.
     guard : CallerGuard
         Bounds the connections, and what they hold beside bodies and unsent answers.
+    turns : Turns
+        Shares the work of parsing among connections.
     body_wait_s : callable
         Given the headers of a request, returns how long its body may wait for room, in seconds.
     """
@@ -64,6 +67,7 @@
     slow_callers: SlowCallers = attrs.field(factory=lambda: SlowCallers(Counters()))
     bodies: BodyReservations = attrs.field(factory=BodyReservations)
     guard: CallerGuard = attrs.field(factory=CallerGuard)
+    turns: Turns = attrs.field(factory=Turns)
     body_wait_s: Callable[[RawHeaders], float] = lambda _: DEFAULT_WAIT_S
 
     def create_connection(self) -> CallerConnection:
--- a/src/sycamorebay/transport/gateway/callers/request_reader.py
+++ b/src/sycamorebay/transport/gateway/callers/request_reader.py
@@ -127,9 +127,13 @@
 
     @property
     def steps(self) -> int:
-        """Headers, chunks and requests that were parsed since the start."""
+        """Work since the start, see `BoundedParser.steps`."""
         return self._parser.steps
 
+    def slice_bytes(self) -> int:
+        """Return how many bytes to feed at a time now."""
+        return self._parser.slice_bytes()
+
     @property
     def held_bytes(self) -> int:
         """Memory that an incomplete request takes, without what is reserved for its body."""
--- a/src/sycamorebay/transport/http/bounded_parser.py
+++ b/src/sycamorebay/transport/http/bounded_parser.py
@@ -21,6 +21,10 @@
 HEADER_SIGN_BYTES = 3
 # What the library buffers of one trailer or extension is counted after so many bytes.
 CHUNKED_SLICE_BYTES = 16 * 1024
+# Heads are fed in smaller slices, as each byte of a head may be much more work.
+HEAD_SLICE_BYTES = 1024
+# What handling a whole request counts for, in headers.
+STEPS_PER_REQUEST = 64
 _UNUSED_PARSER = httptools.HttpRequestParser(None)
 
 
@@ -132,7 +136,7 @@
     in_head : bool
         Whether its head is not complete.
     steps : int
-        Headers, chunks and requests that were parsed since the start.
+        Work since the start: one for each header and chunk, `STEPS_PER_REQUEST` for each request.
     """
 
     def __init__(self, owner: ParserOwner) -> None:
@@ -168,6 +172,10 @@
         """Memory that the head takes of a request that is not complete."""
         return head_memory(self._head.received_bytes, self._header_count)
 
+    def slice_bytes(self) -> int:
+        """Return how many bytes to feed at a time now."""
+        return CHUNKED_SLICE_BYTES if self.in_message and not self.in_head else HEAD_SLICE_BYTES
+
     def feed_data(self, data: bytes | memoryview) -> None:
         """Parse received bytes.
 
@@ -268,7 +276,7 @@
 
     def on_message_complete(self) -> None:
         """Pass on the end of a request."""
-        self.steps += 1
+        self.steps += STEPS_PER_REQUEST
         self.in_message = False
         self._owner.on_message_complete()
         self._head.reset()
--- a/src/sycamorebay/transport/http/paced_feed.py
+++ b/src/sycamorebay/transport/http/paced_feed.py
@@ -5,9 +5,11 @@
 import asyncio
 from collections.abc import Callable
 
+from sycamorebay.transport.http.turns import Turns
+
 # A parser is fed so many bytes at a time.
 SLICE_BYTES = 16 * 1024
-# Headers, chunks and messages that one connection may have handled in a turn of the event loop.
+# Steps of work that one connection may cause in a turn of the event loop.
 MAX_STEPS_PER_TURN = 256
 # What a slice counts for by its bytes alone.
 STEPS_PER_SLICE = 16
@@ -22,12 +24,17 @@
     pass
 
 
+def _whole_slice() -> int:
+    return SLICE_BYTES
+
+
 class PacedFeed:
     """The received bytes of one connection, fed in slices.
 
-    Bytes cost little, but each header, chunk or message is a step of work. Once a turn of the event
-    loop has had enough of them, the connection is not read until the next turn; an event loop may
-    read a fast connection many times in one turn otherwise.
+    Bytes cost little, but each header or chunk is a step of work, and a message is many. Once a
+    turn of the event loop has had enough of them, from this connection or from all together, the
+    connection is not read until a later turn; an event loop may read a fast connection many times
+    in one turn otherwise.
 
     Parameters
     ----------
@@ -35,6 +42,10 @@
         Takes a slice and returns how many steps of work it was.
     on_fed : callable
         Called after received bytes were fed or kept.
+    turns : Turns, optional
+        Shared with other connections; by default the connection has turns of its own.
+    slice_bytes : callable
+        Returns the size of the next slice, in bytes.
 
     Attributes
     ----------
@@ -46,13 +57,18 @@
         self,
         feed: Callable[[bytes | memoryview], int],
         on_fed: Callable[[], None] = lambda: None,
+        turns: Turns | None = None,
+        slice_bytes: Callable[[], int] = lambda: SLICE_BYTES,
     ) -> None:
         self._feed = feed
         self._on_fed = on_fed
+        self._turns = turns or Turns()
+        self._slice_bytes = slice_bytes
         self._transport: asyncio.Transport | None = None
         self._rest = _NOTHING
         self.held_bytes = 0
-        self._next_turn: asyncio.Handle | None = None
+        self._waits = False
+        self._busy_since: int | None = None
         self._is_held_back = False
         self._is_paused = False
 
@@ -72,8 +88,8 @@
         else:
             self._rest = memoryview(data)
         self.held_bytes = len(self._rest)
-        if self._next_turn is None:
-            self._run()
+        if not self._waits:
+            self._begin()
         self._on_fed()
 
     def hold_back(self, is_held_back: bool) -> None:
@@ -81,7 +97,7 @@
         if self._is_held_back == is_held_back:
             return
         self._is_held_back = is_held_back
-        if not is_held_back and self.has_rest and self._next_turn is None:
+        if not is_held_back and self.has_rest and not self._waits:
             # Not at once, as the owner may be in the middle of a step.
             self._wait_for_turn()
         self._update_reading()
@@ -89,7 +105,7 @@
     def flush(self) -> None:
         """Feed all that was received, for a connection that has ended."""
         rest, self._rest = self._rest, _NOTHING
-        self._cancel_turn()
+        self._stop_waiting()
         if rest:
             self._feed(rest)
 
@@ -97,7 +113,7 @@
         """Drop what was received and not fed, and read on."""
         self._rest = _NOTHING
         self.held_bytes = 0
-        self._cancel_turn()
+        self._stop_waiting()
         self._update_reading()
 
     def close(self) -> None:
@@ -107,39 +123,55 @@
         """
         self.drop()
         self._feed, self._on_fed = _take_nothing, _do_nothing
+        self._slice_bytes = _whole_slice
         self._transport = None
 
+    def run(self) -> None:
+        """Feed some of what was received, as its turn has come."""
+        self._waits = False
+        self._run()
+        self._on_fed()
+
+    def _begin(self) -> None:
+        """Feed what was received, in a later turn if this one has had enough work."""
+        if self._turns.has_room:
+            self._run()
+        else:
+            self._wait_for_turn()
+            self._update_reading()
+
     def _run(self) -> None:
-        steps = 0
+        work = fed_bytes = 0
         while self.has_rest and not self._is_held_back and not self._is_closing():
-            data, self._rest = self._rest[:SLICE_BYTES], self._rest[SLICE_BYTES:]
+            size = self._slice_bytes()
+            data, self._rest = self._rest[:size], self._rest[size:]
             if not self._rest:
                 # An empty part would still keep all the bytes that it was taken from.
                 self._rest = _NOTHING
                 self.held_bytes = 0
-            steps += self._feed(data) + STEPS_PER_SLICE * len(data) // SLICE_BYTES
-            if steps >= MAX_STEPS_PER_TURN:
+            fed_bytes += len(data)
+            work += self._feed(data)
+            if work + STEPS_PER_SLICE * fed_bytes // SLICE_BYTES >= MAX_STEPS_PER_TURN:
+                self._busy_since = self._turns.number
                 self._wait_for_turn()
                 break
+        # Bytes alone keep nobody waiting: a turn takes as many as there are.
+        self._turns.spend(work)
         self._update_reading()
 
     def _wait_for_turn(self) -> None:
-        self._next_turn = asyncio.get_running_loop().call_soon(self._on_turn)
-
-    def _on_turn(self) -> None:
-        self._next_turn = None
-        self._run()
-        self._on_fed()
+        self._waits = True
+        self._turns.wait(self, self._busy_since)
 
-    def _cancel_turn(self) -> None:
-        if self._next_turn is not None:
-            self._next_turn.cancel()
-            self._next_turn = None
+    def _stop_waiting(self) -> None:
+        if self._waits:
+            self._waits = False
+            self._turns.discard(self)
 
     def _update_reading(self) -> None:
         if self._transport is None or self._is_closing():
             return
-        pauses = self._is_held_back or self._next_turn is not None
+        pauses = self._is_held_back or self._waits
         if pauses == self._is_paused:
             return
         self._is_paused = pauses
