Bound what an entry takes of an answer of the store

Seen, by a new test: a store that answers without end took an entry to 1,652 MB in three seconds.

Cause: answers were read whole within the timeout of a call, whatever their size, and so was a line of a watch, which has no timeout.

Change: the call or the watch fails after 16 MiB; a value of the store has at most 1 MiB.

Evidence: 137 MB with the same test. A header and trailers without end passed before (56, 57 MB).

--- a/src/sycamorebay/transport/configuration/platform.py
+++ b/src/sycamorebay/transport/configuration/platform.py
@@ -22,6 +22,8 @@
 from sycamorebay.transport.clock import boottime
 
 LEAVING = "leaving"
+# Of an answer, and of one line of a watch; a value has a sixteenth of it at most.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
 @attrs.frozen
@@ -253,7 +255,7 @@
         try:
             async with self._session.get(self._settings.vm_list_url, timeout=timeout) as response:
                 response.raise_for_status()
-                rows = parse_json(await response.read())
+                rows = parse_json(await _read_bounded(response.content))
             with decoding("list of VMs"):
                 return [Vm(str(row["address"]), row.get("state") == LEAVING) for row in rows]
         except (aiohttp.ClientError, OSError, UndecodableError) as error:
@@ -267,7 +269,7 @@
                 self._settings.url + path, json=body, timeout=timeout
             ) as response:
                 response.raise_for_status()
-                return _table(parse_json(await response.read()))
+                return _table(parse_json(await _read_bounded(response.content)))
         except (aiohttp.ClientError, TimeoutError, OSError, UndecodableError) as error:
             raise self._to_platform_error(path, error) from error
 
@@ -320,6 +322,19 @@
     return None
 
 
+async def _read_bounded(content: aiohttp.StreamReader) -> bytes:
+    answer = bytearray()
+    async for chunk in content.iter_any():
+        answer += chunk
+        _check_size(len(answer))
+    return bytes(answer)
+
+
+def _check_size(size: int) -> None:
+    if size > MAX_ANSWER_BYTES:
+        raise UndecodableError(f"the store's answer has over {MAX_ANSWER_BYTES} bytes")
+
+
 async def _lines(content: aiohttp.StreamReader) -> AsyncIterator[bytes]:
     buffer = bytearray()
     async for chunk in content.iter_any():
@@ -327,6 +342,7 @@
         while (end := buffer.find(b"\n")) >= 0:
             yield bytes(buffer[:end])
             del buffer[: end + 1]
+        _check_size(len(buffer))
 
 
 def _decode_watch_result(line: bytes) -> dict[str, Any]:
--- a/tests/test_entry_untrusted_servers.py
+++ b/tests/test_entry_untrusted_servers.py
@@ -12,12 +12,15 @@
 from contextlib import asynccontextmanager
 
 from bench.fleet import CALLERS_PORT, Fleet, Shape
+from tests.gateway_fleet import free_port
 from tests.support import asynchronous, raw_document
 from tests.test_entry_untrusted_callers import (
     MAX_FDS,
     RAM_MB,
+    UnconfiguredFleet,
     is_answered,
     is_live,
+    is_refused,
 )
 from tests.untrusted import ENDLESS_CROWD, ENDLESS_S, KIB, Pattern, UntrustedTest, Victim
 
@@ -110,3 +113,31 @@
     @asynchronous
     async def test_a_body_without_end_for_callers_that_do_not_read(self):
         await self.check(Pattern(CHUNKED, b"10000\r\n" + b"x" * 64 * KIB + b"\r\n", PIECES))
+
+
+class StoreTest(UntrustedTest):
+    async def check(self, pattern: Pattern) -> None:
+        port = free_port()
+        platform = {
+            "url": f"http://127.0.0.1:{port}",
+            "vm_list_url": f"http://127.0.0.1:{port}/vms",
+        }
+        prepared = UnconfiguredFleet(Shape(1, raw_document(1), settings={"platform": platform}))
+        async with endless_server(pattern, "127.0.0.1", port), prepared as started:
+
+            async def is_serving() -> bool:
+                return await is_live(started) and await is_refused(started)
+
+            await self.check_victim(entry_of(started, is_serving), Pattern(), 0, ENDLESS_S)
+
+    @asynchronous
+    async def test_an_answer_without_end(self):
+        await self.check(Pattern(CHUNKED, b"10000\r\n" + b"x" * 64 * KIB + b"\r\n", PIECES))
+
+    @asynchronous
+    async def test_one_header_without_end(self):
+        await self.check(Pattern(b"HTTP/1.1 200 OK\r\nx: ", b"x" * 64 * KIB, PIECES))
+
+    @asynchronous
+    async def test_tiny_trailers_without_end(self):
+        await self.check(Pattern(CHUNKED + b"0\r\n", b"ab:\r\n" * 13_000, PIECES))
