--- a/src/sycamorebay/transport/forwarding/upstream.py
+++ b/src/sycamorebay/transport/forwarding/upstream.py
@@ -394,7 +394,8 @@
     connector = aiohttp.TCPConnector(
         limit=0, keepalive_timeout=KEEPALIVE_TIMEOUT_S, use_dns_cache=False
     )
-    connector._factory = functools.partial(BoundedResponseHandler, loop=asyncio.get_running_loop())
+    handler: Callable[..., ResponseHandler] = BoundedResponseHandler
+    connector._factory = functools.partial(handler, loop=asyncio.get_running_loop())
     async with connector:
         yield AiohttpUpstream(connector)
 
