Run a connection that waits again only in the next turn

Cause: a turn ended with its work alone, which bytes don't count for, so that a connection that had used up its part of a turn was run again in the same one. Change: a turn runs as many connections as waited when it began.

--- a/src/sycamorebay/transport/http/turns.py
+++ b/src/sycamorebay/transport/http/turns.py
@@ -86,8 +86,11 @@
         self._next = None
         self._spent = 0
         self.number += 1
-        while self.has_room and (self._light or self._busy):
+        # One that waits again does so for the next turn.
+        for _ in range(len(self._light) + len(self._busy)):
             waiting = self._light or self._busy
+            if not waiting or not self.has_room:
+                break
             flow = next(iter(waiting))
             del waiting[flow]
             flow.run()
