Write large bodies without copying them

Cause: a body was joined with its head to one object for each write, beside the object that the request or the answer holds.

Change: a body above 16 KiB is written as a part of its own, to servers and to callers.

--- a/src/sycamorebay/protocol/pieces.py
+++ b/src/sycamorebay/protocol/pieces.py
@@ -10,6 +10,17 @@
 JOINED_BYTES = 16 * 1024
 
 
+# A body up to this size is copied into one object with its head, which costs less than two writes.
+COPIED_BODY_BYTES = 16 * 1024
+
+
+def join_small(head: bytes, body: bytes) -> tuple[bytes, ...]:
+    """Return a head and a body as one object, or as two if the body is large."""
+    if not body:
+        return (head,)
+    return (head + body,) if len(body) <= COPIED_BODY_BYTES else (head, body)
+
+
 class PieceBuffer:
     """Pieces in order; small ones are joined, so that few objects hold them.
 
--- a/src/sycamorebay/transport/gateway/callers/caller_messages.py
+++ b/src/sycamorebay/transport/gateway/callers/caller_messages.py
@@ -7,6 +7,7 @@
 import attrs
 
 from sycamorebay.protocol.header_names import BODILESS_STATUSES, RawHeaders
+from sycamorebay.protocol.pieces import join_small
 from sycamorebay.transport.gateway.body_stream import BodyStream
 
 
@@ -76,8 +77,10 @@
             self.stream.abort()
 
 
-def encode_answer(answer: CallerAnswer, keep_alive: bool, bodiless: bool) -> bytes:
-    """Return the bytes of an answer; those of a stream end with its head.
+def encode_answer(answer: CallerAnswer, keep_alive: bool, bodiless: bool) -> tuple[bytes, ...]:
+    """Return the bytes of an answer in one or two parts; those of a stream end with its head.
+
+    A large body is a part of its own, and not copied.
 
     Parameters
     ----------
@@ -97,7 +100,9 @@
     if not keep_alive:
         lines.append(b"connection: close")
     head = b"\r\n".join(lines) + b"\r\n\r\n"
-    return head if bodiless else head + answer.body
+    if bodiless:
+        return (head,)
+    return join_small(head, answer.body)
 
 
 _PHRASES_BY_STATUS = {status.value: status.phrase for status in http.HTTPStatus}
--- a/src/sycamorebay/transport/gateway/callers/connection.py
+++ b/src/sycamorebay/transport/gateway/callers/connection.py
@@ -267,7 +267,8 @@
         answer = action.request.answer
         assert answer is not None
         bodiless = action.request.request.method == "HEAD" or answer.status in BODILESS_STATUSES
-        self._transport.write(encode_answer(answer, action.keep_alive, bodiless))
+        for part in encode_answer(answer, action.keep_alive, bodiless):
+            self._transport.write(part)
         self._listener.slow_callers.close_slowest()
         if answer.stream is not None:
             self._stream = answer.stream
@@ -291,7 +292,8 @@
         if action.fault is NO_ROOM:
             headers.append((b"retry-after", b"1"))
         answer = CallerAnswer(action.fault.status, headers, b"")
-        self._transport.write(encode_answer(answer, False, False))
+        for part in encode_answer(answer, False, False):
+            self._transport.write(part)
 
     def _write_continue(self) -> None:
         self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
--- a/src/sycamorebay/transport/gateway/servers/client.py
+++ b/src/sycamorebay/transport/gateway/servers/client.py
@@ -13,7 +13,7 @@
 from sycamorebay import log
 from sycamorebay.protocol.framing import FREE_FRAMING_BYTES, FramingError, FramingMeter
 from sycamorebay.protocol.header_names import BODILESS_STATUSES, RawHeaders
-from sycamorebay.protocol.pieces import PieceBuffer
+from sycamorebay.protocol.pieces import PieceBuffer, join_small
 from sycamorebay.transport.gateway.body_stream import BodyStream
 from sycamorebay.transport.gateway.counters import Counters
 from sycamorebay.transport.gateway.servers.buffer_budget import BufferBudget
@@ -162,7 +162,8 @@
         self._stream_above = stream_above
         self._parser = httptools.HttpResponseParser(self)
         self._answer = asyncio.get_running_loop().create_future()
-        self._transport.write(head + body if body else head)
+        for part in join_small(head, body):
+            self._transport.write(part)
         try:
             return await self._answer
         except BaseException:
