Count an answer that its caller doesn't read once the transport tells of it

Cause: SlowCallers was asked only when an answer was written. A transport tells that its buffer is full later in the turn, so that an answer counted only when the next one was written, and answers that were whole at the same time not at all.

Change: it is asked again when writing is paused.

Evidence: the new test of SlowCallerTest fails without the change.

--- a/src/sycamorebay/transport/gateway/callers/connection.py
+++ b/src/sycamorebay/transport/gateway/callers/connection.py
@@ -157,6 +157,8 @@
         self._writable.clear()
         self._listener.slow_callers.add(self)
         self._perform(self._machine.on_write_paused())
+        # A transport may tell of its buffer only after the answer that filled it was counted.
+        self._listener.slow_callers.close_slowest()
 
     def resume_writing(self) -> None:
         """Go on with a large answer, and with further requests."""
--- a/tests/test_gateway_caller_connection.py
+++ b/tests/test_gateway_caller_connection.py
@@ -98,6 +98,17 @@
 
 
 class SlowCallerTest(testtools.TestCase):
+    @asynchronous
+    async def test_an_answer_that_fills_the_buffer_after_it_was_counted_cuts_its_caller_off(self):
+        async with pipeline() as played:
+            played.listener.slow_callers = SlowCallers(Counters(), max_unsent_bytes=100)
+            played.send("/unsafe/1")
+            await played.settle()
+            await played.answer("/unsafe/1", CallerAnswer(200, [], b"x" * 200))
+            played.transport.get_write_buffer_size = lambda: 200
+            played.connection.pause_writing()
+            self.assertTrue(played.transport.closed)
+
     @asynchronous
     async def test_no_request_starts_behind_an_answer_for_which_the_caller_is_cut_off(self):
         async with pipeline() as played:
@@ -106,8 +117,9 @@
             loop, lose = asyncio.get_running_loop(), played.connection.connection_lost
             # As a transport does, it reports its end in the next turn.
             played.transport.abort = lambda: loop.call_soon(lose, None)
+            played.connection.pause_writing()
             played.transport.get_write_buffer_size = lambda: 1
             played.listener.slow_callers = SlowCallers(Counters(), max_unsent_bytes=0)
-            played.connection.pause_writing()
+            played.listener.slow_callers.add(played.connection)
             await played.answer("/unsafe/1", CallerAnswer(200, []))
             self.assertEqual(["/unsafe/1"], played.started)
