Split the state machine's parts and the entry's listener into modules of their own

No request at an entry counted as light, as the fixed memory of a request was compared with the limit of a small head, so that each was counted for itself: only its head is compared now.

--- a/src/sycamorebay/protocol/caller_connection.py
+++ b/src/sycamorebay/protocol/caller_connection.py
@@ -6,10 +6,9 @@
 
 from __future__ import annotations
 
-import enum
 from collections import deque
 from collections.abc import Collection
-from typing import Generic, Protocol, TypeVar
+from typing import Generic
 
 import attrs
 
@@ -25,8 +24,8 @@
     WriteAnswer,
     WriteRefusal,
 )
+from sycamorebay.protocol.connection_state import ConnectionRules, Receiving, Space, Timer
 from sycamorebay.protocol.request_head import NO_ROOM, TOO_SLOW, HeadFault
-from sycamorebay.state.routing import RequestLimits
 
 MAX_PIPELINED = 32
 # Requests of one connection that run at the same time.
@@ -36,56 +35,6 @@
 LINGER_S = 0.5
 BODY_TOO_SLOW = HeadFault(408, "the request's body took too long")
 
-_Request = TypeVar("_Request", contravariant=True)
-
-
-class ConnectionRules(Protocol[_Request]):
-    """What holds for all connections of a listener; it may change at any time."""
-
-    @property
-    def request_limits(self) -> RequestLimits:
-        """Limits of callers' requests."""
-        ...
-
-    @property
-    def stopping(self) -> bool:
-        """Whether connections are closed after their open requests are answered."""
-        ...
-
-    def overlaps(self, request: _Request) -> bool:
-        """Whether a request may start before those ahead of it are answered."""
-        ...
-
-    def may_end_early(self, request: _Request) -> bool:
-        """Whether a request's answer may break off, and the connection end with it."""
-        ...
-
-
-class Receiving(enum.Enum):
-    """What of a request is being received."""
-
-    NOTHING = "nothing"
-    HEAD = "head"
-    BODY = "body"
-
-
-class Space(enum.Enum):
-    """Buffer space of the body that is being received."""
-
-    NONE = "none"
-    REQUESTED = "requested"
-    WAITING = "waiting"
-    HELD = "held"
-
-
-class Timer(enum.Enum):
-    """What the running timer bounds."""
-
-    PROGRESS = "time for a head, time without progress in a body or without a request"
-    SPACE = "time for which a body may wait for space"
-    LINGER = "time for which input is discarded"
-    READING = "time for which a caller may leave its answers unread while requests of it wait"
-
 
 @attrs.define(eq=False)
 class ConnectionMachine(Generic[RequestT]):
--- a/src/sycamorebay/transport/forwarding/caller_protocol.py
+++ b/src/sycamorebay/transport/forwarding/caller_protocol.py
@@ -8,8 +8,6 @@
 from collections.abc import Callable
 from typing import Any, cast
 
-import attrs
-from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import (
     STATUS_LINE,
     HttpToolsProtocol,
@@ -22,8 +20,8 @@
     REQUEST_OBJECT_BYTES,
     SMALL_HEAD_BYTES,
 )
-from sycamorebay.outcomes import NotRun, Refusal, Unknown
-from sycamorebay.protocol.header_names import BODILESS_STATUSES, RawHeaders
+from sycamorebay.outcomes import NotRun, Unknown
+from sycamorebay.protocol.header_names import BODILESS_STATUSES
 from sycamorebay.protocol.headers import Headers, header_value
 from sycamorebay.protocol.problem import raw_refusal
 from sycamorebay.protocol.request_head import (
@@ -32,15 +30,13 @@
     TOO_LARGE,
     TOO_SLOW,
     HeadFault,
-    find_head_fault,
     origin_form,
 )
-from sycamorebay.settings import CallerLimits
+from sycamorebay.transport.forwarding.feed_flow import FeedFlow
+from sycamorebay.transport.forwarding.listener import Listener
 from sycamorebay.transport.forwarding.upstream import READ_BUFFER_BYTES
 from sycamorebay.transport.http.bounded_parser import BoundedParser, HeadLimits, RequestError
-from sycamorebay.transport.http.caller_guard import CallerGuard
 from sycamorebay.transport.http.paced_feed import PacedFeed
-from sycamorebay.transport.http.turns import Turns
 
 # Key of the `CallerProtocol` among the extensions of the ASGI scope.
 CONNECTION_EXTENSION = "sycamorebay.connection"
@@ -55,54 +51,6 @@
 ANSWER_BUFFER_BYTES = 2 * READ_BUFFER_BYTES
 
 
-@attrs.define
-class Listener:
-    """State shared by all connections of one listener.
-
-    Attributes
-    ----------
-    limits : CallerLimits
-        Size limits and timeouts for callers.
-    on_refusal : callable
-        Called with each refusal that a connection writes itself, as for bad input.
-    guard : CallerGuard
-        Bounds the connections and what they hold.
-    turns : Turns
-        Shares the work of parsing among connections.
-    sender : str
-        Who sends the requests; refusals name it.
-    find_fault : callable
-        Returns the fault of a request's method, target, HTTP version and headers, or None.
-    draining : bool
-        Whether connections are closed after their next answer, so that callers reconnect to another
-        entry.
-    """
-
-    limits: CallerLimits
-    on_refusal: Callable[[Refusal], None]
-    guard: CallerGuard = attrs.field(factory=CallerGuard)
-    turns: Turns = attrs.field(factory=Turns)
-    sender: str = "caller"
-    find_fault: Callable[[bytes, bytes, str, RawHeaders], HeadFault | None] = find_head_fault
-    draining: bool = False
-
-
-class _FeedFlow(FlowControl):
-    """uvicorn's flow control, by which neither the socket nor the feed goes on."""
-
-    def __init__(self, transport: asyncio.Transport, feed: PacedFeed) -> None:
-        super().__init__(transport)
-        self._feed = feed
-
-    def pause_reading(self) -> None:
-        self.read_paused = True
-        self._feed.hold_back(True)
-
-    def resume_reading(self) -> None:
-        self.read_paused = False
-        self._feed.hold_back(False)
-
-
 class CallerProtocol(HttpToolsProtocol):
     """uvicorn's HTTP/1.1 protocol with limited heads and trailers, timeouts and refusals.
 
@@ -145,7 +93,7 @@
         """Register the connection, and start the idle timeout for the first request."""
         super().connection_made(transport)
         self._feed.open(transport)
-        self.flow = _FeedFlow(transport, self._feed)
+        self.flow = FeedFlow(transport, self._feed)
         self._listener.guard.on_connected(self)
         self._start_timer(self._listener.limits.idle_s, self._on_head_timeout)
 
@@ -268,7 +216,7 @@
         if self._reading_head:
             held += self._bounded_parser.held_bytes
         for cycle, head_bytes in self._head_memory_by_cycle.items():
-            held += head_bytes + len(cycle.body)
+            held += REQUEST_OBJECT_BYTES + head_bytes + len(cycle.body)
         if self.flow.write_paused:
             held += ANSWER_BUFFER_BYTES
         return held
@@ -355,8 +303,7 @@
         self.url = origin_form(self.url) or b"/"
         self._reading_body = True
         super().on_headers_complete()
-        held = self._bounded_parser.held_bytes + REQUEST_OBJECT_BYTES
-        self._head_memory_by_cycle[self.cycle] = held
+        self._head_memory_by_cycle[self.cycle] = self._bounded_parser.held_bytes
 
     def on_message_complete(self) -> None:
         """Wait for the next head.
--- a/src/sycamorebay/transport/forwarding/front.py
+++ b/src/sycamorebay/transport/forwarding/front.py
@@ -17,17 +17,14 @@
 from sycamorebay.protocol.headers import Headers
 from sycamorebay.protocol.request_head import host_name
 from sycamorebay.settings import CallerLimits, Listen
-from sycamorebay.transport.forwarding.caller_protocol import (
-    CONNECTION_EXTENSION,
-    CallerProtocol,
-    Listener,
-)
+from sycamorebay.transport.forwarding.caller_protocol import CONNECTION_EXTENSION, CallerProtocol
 from sycamorebay.transport.forwarding.exchange import (
     ForwardedBody,
     OutgoingAnswer,
     PartiallyReadBody,
 )
 from sycamorebay.transport.forwarding.forward import Forwarder
+from sycamorebay.transport.forwarding.listener import Listener
 from sycamorebay.transport.forwarding.upstream import CallerBodyError, TruncatedAnswerError
 from sycamorebay.transport.http.caller_guard import CallerGuard, CallerMemory, ClosureCounters
 from sycamorebay.transport.http.turns import Turns
--- a/tests/test_entry_untrusted_servers.py
+++ b/tests/test_entry_untrusted_servers.py
@@ -8,21 +8,14 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
 from bench.fleet import CALLERS_PORT, Fleet, Shape
 from tests.gateway_fleet import free_port
 from tests.support import asynchronous, raw_document
-from tests.test_entry_untrusted_callers import (
-    MAX_FDS,
-    RAM_MB,
-    UnconfiguredFleet,
-    is_answered,
-    is_live,
-    is_refused,
-)
-from tests.untrusted import ENDLESS_CROWD, ENDLESS_S, KIB, Pattern, UntrustedTest, Victim
+from tests.test_entry_untrusted_callers import UnconfiguredFleet, victim_of
+from tests.untrusted import ENDLESS_CROWD, ENDLESS_S, KIB, Pattern, UntrustedTest
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -61,29 +54,12 @@
         pass
 
 
-def entry_of(started: Fleet, is_serving: Callable[[], Awaitable[bool]]) -> Victim:
-    """Return the entry of a fleet."""
-    process = started.processes_by_name["entry-0"]
-    return Victim(
-        process.pid,
-        (started.address, CALLERS_PORT),
-        is_serving,
-        lambda: process.poll() is not None,
-        RAM_MB,
-        MAX_FDS,
-    )
-
-
 class ServersTest(UntrustedTest):
     async def check(self, pattern: Pattern) -> None:
         prepared = EndlessServerFleet(Shape(1, raw_document(1)))
         host, _, port = prepared.servers[0]["address"].partition(":")
         async with endless_server(pattern, host, int(port)), prepared as started:
-
-            async def is_serving() -> bool:
-                return await is_live(started) and await is_answered(started)
-
-            victim = entry_of(started, is_serving)
+            victim = victim_of(started, CALLERS_PORT)
             await self.check_victim(victim, Pattern(REQUEST), ENDLESS_CROWD, ENDLESS_S)
 
     @asynchronous
@@ -124,11 +100,8 @@
         }
         prepared = UnconfiguredFleet(Shape(1, raw_document(1), settings={"platform": platform}))
         async with endless_server(pattern, "127.0.0.1", port), prepared as started:
-
-            async def is_serving() -> bool:
-                return await is_live(started) and await is_refused(started)
-
-            await self.check_victim(entry_of(started, is_serving), Pattern(), 0, ENDLESS_S)
+            victim = victim_of(started, CALLERS_PORT)
+            await self.check_victim(victim, Pattern(), 0, ENDLESS_S)
 
     @asynchronous
     async def test_an_answer_without_end(self):
