Lower the bound of a store's answer at an entry to 8 MiB

Seen: the test of answers without end took 137 and 169 MB of 200 in two runs with 16 MiB, as several calls run at the same time. A value of the store has at most 1 MiB.

--- a/src/sycamorebay/transport/configuration/platform.py
+++ b/src/sycamorebay/transport/configuration/platform.py
@@ -22,8 +22,8 @@
 from sycamorebay.transport.clock import boottime
 
 LEAVING = "leaving"
-# Of an answer, and of one line of a watch; a value has a sixteenth of it at most.
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Of an answer, and of one line of a watch; a value has an eighth of it at most.
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
 
 
 @attrs.frozen
