--- a/src/sycamorebay/protocol/caller_connection.py
+++ b/src/sycamorebay/protocol/caller_connection.py
@@ -372,7 +372,7 @@
 
     @property
     def _leaves_unread(self) -> bool:
-        """Whether the caller leaves whole answers unread, and more than those to ignored input."""
+        """Whether the caller leaves whole answers unread while its input is still wanted."""
         return self._is_write_paused and self._streamed is None and not self._ignores_input
 
     def _bound_unread(self, actions: list[Action[RequestT]]) -> None:
